--- /dev/null
+++ b/lynxreel/__init__.py
@@ -0,0 +1,1 @@
+"""lynxreel: the real gateway round mothgap's decisions, on sockets."""
--- /dev/null
+++ b/lynxreel/gateway.py
@@ -0,0 +1,241 @@
+"""Drives the decision module: events in, `Gateway.handle`, actions out. Clock, ids and timers; no sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import sys
+import time
+import traceback
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from mothgap import interface as api
+from mothgap.rules import Gateway
+
+WAY = 10_000  # microseconds of a client's patience kept back for the way there and back and for loop lag
+LATE = 5_000  # microseconds past the deadline told to the module at which the answer is given without it
+MOST_WAIT = 3_600_000  # milliseconds; a longer patience is cut to this, so that timers stay within bounds
+
+
+class Call(Protocol):
+    """A client's request, as the engine sees it."""
+
+    cls: int
+    plan: int
+    customer: int
+    units: float
+    patience: int  # milliseconds, from when the client sent it
+    spread: int
+    first: int
+    retry: bool
+
+    def served(self, value: bytes) -> None:
+        """Answer with a server's value."""
+
+    def refused(self, wait: int) -> None:
+        """Answer that it may come again, after so many microseconds if not 0."""
+
+    def failed(self) -> None:
+        """Answer that it failed."""
+
+
+class Backend(Protocol):
+    """Where attempts go."""
+
+    def send(self, attempt: Attempt, timeout: int) -> None:
+        """Start an attempt; exactly one `Engine.finished` follows."""
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Give an attempt up."""
+
+
+class Counter(Protocol):
+    """Where counts go."""
+
+    def add(self, name: int, amount: float, lifetime: int) -> None:
+        """Add; exactly one `Counted` event follows."""
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One sending of a request to a server."""
+
+    request: int
+    number: int
+    server: str
+    call: Call
+    started: int
+    over: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Open:
+    """A request that is owed its final answer."""
+
+    call: Call
+    deadline: asyncio.TimerHandle
+    attempts: int = 0
+    over: bool = False  # answered or left, but the module has not been told yet
+
+
+@dataclass(slots=True)
+class Clock:
+    """Microseconds: Unix time at the start, and from there monotonic, so that all gateways share windows."""
+
+    base: int = field(default_factory=lambda: time.time_ns() - time.monotonic_ns())
+
+    def now(self) -> int:
+        """The time now."""
+        return (self.base + time.monotonic_ns()) // 1_000
+
+
+class Engine:
+    """One gateway's decisions, and who is owed what."""
+
+    def __init__(self, settings: api.Settings, seed: int, loop: asyncio.AbstractEventLoop) -> None:
+        self.clock = Clock()
+        self.backend: Backend
+        self.counter: Counter
+        self._settings = settings
+        self._loop = loop
+        self._module = Gateway(settings, seed, self.clock.now())
+        self._ids = itertools.count(1)
+        self._open: dict[int, Open] = {}
+        self._out: dict[tuple[int, int], Attempt] = {}
+        self._news: deque[api.Event] = deque()
+        self._events: deque[api.Event] = deque()
+        self._scheduled = False
+
+    # --- what the sockets tell --------------------------------------------------------------------------
+
+    def submit(self, call: Call) -> int:
+        """Take a request; the id is for `gone`."""
+        request = next(self._ids)
+        left = max(0, min(call.patience, MOST_WAIT) * 1_000 - WAY)
+        deadline = self._loop.call_later((left + LATE) / 1e6, self._outlived, request)
+        self._open[request] = Open(call, deadline)
+        extras = (call.units, left, call.spread, call.first, call.retry)
+        self.post(api.Request(request, call.cls, call.plan, call.customer, *extras))
+        return request
+
+    def gone(self, request: int) -> None:
+        """The client has left."""
+        if self._close(request) is not None:
+            self.post(api.Expired(request))
+
+    def news(self, members: api.Members) -> None:
+        """The list of servers has changed. It goes before all that is queued: sends rely on it."""
+        self._news.append(members)
+        self._schedule()
+
+    def post(self, event: api.Event) -> None:
+        """Queue an event; the queue is worked off when all sockets that are ready have been read."""
+        self._events.append(event)
+        self._schedule()
+
+    def finished(
+        self, attempt: Attempt, result: api.Result, value: bytes = b"", load: tuple[float, ...] = ()
+    ) -> None:
+        """An attempt has ended. The first good answer goes to the client."""
+        if attempt.over:
+            return
+        attempt.over = True
+        self._out.pop((attempt.request, attempt.number), None)
+        if result is api.Result.OK and (closed := self._close(attempt.request)) is not None:
+            closed.call.served(value)
+        elapsed = self.clock.now() - attempt.started
+        held = self._open.get(attempt.request)
+        final = held is None or held.over
+        self.post(
+            api.Outcome(attempt.request, attempt.number, attempt.server, result, elapsed, final, load=load)
+        )
+
+    # --- events and actions -----------------------------------------------------------------------------
+
+    def _schedule(self) -> None:
+        if not self._scheduled:
+            self._scheduled = True
+            self._loop.call_soon(self._work)
+
+    def _work(self) -> None:
+        """Hand the queued events to the module. What it adds to the queue meanwhile has the next turn."""
+        self._scheduled = False
+        for queue in (self._news, self._events):
+            for _ in range(len(queue)):
+                event = queue.popleft()
+                try:
+                    for action in self._module.handle(self.clock.now(), event):
+                        self._act(action)
+                except Exception:  # one request's trouble must not end the process
+                    traceback.print_exc()
+                    self._give_up(event)
+                if isinstance(event, api.Expired) or (isinstance(event, api.Outcome) and event.final):
+                    self._open.pop(event.request, None)
+
+    def _give_up(self, event: api.Event) -> None:
+        """The handling of an event went wrong: the request that it was about gets an answer."""
+        if isinstance(event, api.Request):
+            self._fail(event.id)
+        elif isinstance(event, api.Outcome):
+            self._fail(event.request)
+
+    def _fail(self, request: int) -> None:
+        closed = self._close(request)
+        if closed is not None:
+            closed.call.failed()
+            self.post(api.Expired(request))
+
+    def _act(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self._send(action)
+            case api.Count():
+                self.counter.add(action.name, action.amount, action.lifetime)
+            case api.SetTimer():
+                self._loop.call_later(action.delay / 1e6, self.post, api.Timer(action.token))
+            case api.Refuse():
+                if (closed := self._close(action.request)) is not None:
+                    closed.call.refused(action.retry_after if self._settings.limits.retry_after else 0)
+                self._open.pop(action.request, None)
+            case api.Fail():
+                if (closed := self._close(action.request)) is not None:
+                    closed.call.failed()
+                self._open.pop(action.request, None)
+            case api.Cancel():
+                attempt = self._out.get((action.request, action.attempt))
+                if attempt is not None:
+                    self.backend.cancel(attempt)
+            case api.Watch():
+                pass  # discovery is watched from the start, and for good
+            case _:
+                raise NotImplementedError(f"no code for the action {action}")
+
+    def _send(self, action: api.Send) -> None:
+        held = self._open[action.request]
+        number = held.attempts
+        held.attempts += 1
+        if held.over or number >= self._settings.limits.max_attempts:
+            moot = api.Outcome(action.request, number, action.server, api.Result.NOT_SENT, 0, held.over)
+            self.post(moot)
+            return
+        attempt = Attempt(action.request, number, action.server, held.call, self.clock.now())
+        self._out[(attempt.request, attempt.number)] = attempt
+        self.backend.send(attempt, action.timeout)
+
+    def _close(self, request: int) -> Open | None:
+        """The request's one answer is due now, unless it has had it."""
+        held = self._open.get(request)
+        if held is None or held.over:
+            return None
+        held.over = True
+        held.deadline.cancel()
+        return held
+
+    def _outlived(self, request: int) -> None:
+        """Guards the one answer in time, whatever the module does."""
+        print("lynxreel: the module let a request's time run out", file=sys.stderr)
+        self._fail(request)
+
+
--- a/mothgap/drill.py
+++ b/mothgap/drill.py
@@ -12,9 +12,8 @@
 
 from mothgap import interface as api
 from mothgap.rules import Gateway
+from mothgap.settings import read_settings
 
-EFFECTS = {"repeatable": api.Effect.REPEATABLE, "by_key": api.Effect.KEYED, "once": api.Effect.ONCE}
-GROUPS = {group.value: group for group in api.Group}
 RESULTS = {
     200: api.Result.OK,
     502: api.Result.ERROR,
@@ -69,84 +68,6 @@
     return bytes(int(part) for part in host.split(".")) + int(port).to_bytes(2, "little")
 
 
-def read_settings(text: bytes) -> api.Settings:
-    """Settings from the facts of a boot record; unknown keys are skipped."""
-    try:
-        facts = json.loads(text)
-    except ValueError:
-        raise WireError("facts are not JSON") from None
-    try:
-        limits, safety = facts["limits"], facts["safety"]
-        extra, report = facts.get("extra", {}), facts.get("report", {})
-        classes = tuple(
-            api.RequestClass(
-                effect=EFFECTS[c["effect"]],
-                aim=c["goalTimeUs"],
-                deadline=c["giveUpUs"],
-                worth=c["gain"],
-                late_worth=c.get("lateWorth", 0.0),
-                group=GROUPS[c.get("group", "all")],
-                key_memory=c.get("windowUs", 0),
-                streamed=c.get("streamed", False),
-            )
-            for c in facts["classes"]
-        )
-        plans = tuple(
-            api.Plan(
-                rate=p.get("quotaRate", 0.0),
-                burst=p.get("mostAtOnce", 0.0),
-                concurrency=p.get("concurrency", 0),
-                ceiling_rate=p.get("neverOverRate", 0.0),
-                ceiling_burst=p.get("ceilingBurst", 0.0),
-                ceiling_slack=p.get("hardSlack", 0.0),
-                price=p.get("pays", 1.0),
-                beyond_worth=p.get("beyondEarns", 0.0),
-                beyond_cost=p.get("overCost", 0.0),
-            )
-            for p in facts["packages"]
-        )
-        return api.Settings(
-            classes=classes,
-            plans=plans,
-            fleet_size=facts["fleetSize"],
-            index=facts["selfIndex"],
-            zone=facts.get("zone", 0),
-            tick=facts["tickUs"],
-            limits=api.Limits(
-                max_attempts=limits["maxAttempts"],
-                second_copies=limits.get("secondCopies", False),
-                may_cancel=limits.get("mayCancel", False),
-                may_probe=limits.get("probing", False),
-                peers=limits.get("peers", False),
-                retry_after=limits.get("retryAfter", False),
-                max_retry_after=limits.get("maxRetryAfterUs", 0),
-                connect_timeout=limits.get("connectTimeoutUs", 0),
-            ),
-            safety=api.Safety(
-                answer_slack=safety["answerSlackUs"],
-                drain_grace=safety["stopSendingWithinUs"],
-                cold_from=safety["coldFrom"],
-                cold_span=safety["coldUs"],
-                fall_multiple=safety["tipMultiple"],
-                fall_span=safety["fallUs"],
-                ask_within=safety.get("askWithinUs", 0),
-            ),
-            counter=api.Counter(time_limit=extra["countLimitUs"], price=extra.get("callPrice", 0.0))
-            if extra.get("counter")
-            else None,
-            units_top=extra.get("unitsTop", 1),
-            units_settle=extra.get("truedUp", False),
-            weighted=facts.get("weights", "off") in ("nominal", "rough"),
-            ask_for_list=facts.get("registryMode") == "subscribe",
-            report_fields=tuple(report.get("fields", ())),
-            report_by_probe=report.get("via") == "on_probe",
-        )
-    except KeyError as missing:
-        raise WireError(f"facts lack the key, or have an unknown word for it: {missing.args[0]}") from None
-    except (TypeError, AttributeError) as wrong:
-        raise WireError(f"facts have a value of the wrong type: {wrong}") from None
-
-
 class Drill:
     """All instances of one adapter process."""
 
@@ -184,9 +105,11 @@
         if code == BOOT:
             facts = reader.blob(fields[2])
             try:
-                self.gateways[instance] = Gateway(read_settings(facts), fields[1], now)
+                self.gateways[instance] = Gateway(read_settings(json.loads(facts)), fields[1], now)
             except api.SettingsError as error:
-                raise WireError(f"facts: {error}") from None
+                raise WireError(str(error)) from None
+            except ValueError:
+                raise WireError("settings are not JSON") from None
             return
         if instance not in self.gateways:
             raise WireError(f"instance {instance} was never started")
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,88 @@
+"""The program as the deploy file starts it, with a discovery that tells of no change."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.test_drill import FACTS
+
+ROOT = Path(__file__).parent.parent
+RUN = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+NAMED = {
+    **FACTS,
+    "classes": [{**FACTS["classes"][0], "name": "lookup"}],
+    "packages": [{**FACTS["packages"][0], "name": "basic"}],
+    "limits": {**FACTS["limits"], "connIdleUs": 15_000_000, "connectTimeoutUs": 250_000},
+}
+
+
+GATEWAY = "127.91.0.1"  # an address where nothing else takes ports
+
+
+def free_port() -> int:
+    with socket.create_server((GATEWAY, 0)) as taken:
+        port: int = taken.getsockname()[1]
+        return port
+
+
+def config(discovery: int, counter: int, listen: int) -> dict[str, Any]:
+    server = {"instanceId": "s-1", "hostPort": "127.0.0.1:9", "lifecycle": "SERVING", "startedAtMs": 0}
+    return {
+        "name": "n0", "listen": f"{GATEWAY}:{listen}", "discovery": f"127.0.0.1:{discovery}", "seed": "8c1f",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "counter": f"127.0.0.1:{counter}",
+        "known": {"generation": 41, "reset": True, "instances": [server]}, "settings": NAMED,
+    }  # fmt: skip
+
+
+def start(tmp_path: Path, text: str | None) -> subprocess.Popen[bytes]:
+    (tmp_path / "config.json").write_text(text or "")
+    env = {**os.environ, "EDGE_CONFIG": str(tmp_path / ("config.json" if text is not None else "none.json"))}
+    return subprocess.Popen(
+        ["/bin/sh", "-c", RUN], cwd=ROOT, env=env, stdout=subprocess.PIPE, stderr=subprocess.PIPE
+    )
+
+
+def connect(port: int, process: subprocess.Popen[bytes]) -> socket.socket:
+    while True:
+        assert process.poll() is None, process.communicate()
+        try:
+            return socket.create_connection((GATEWAY, port), timeout=30)
+        except ConnectionRefusedError:
+            continue
+
+
+def test_it_starts_answers_a_ping_and_exits_0_after_sigterm(tmp_path: Path) -> None:
+    any_port = ("127.0.0.1", 0)
+    with socket.create_server(any_port) as discovery, socket.create_server(any_port) as counter:
+        ports = [s.getsockname()[1] for s in (discovery, counter)] + [free_port()]
+        with start(tmp_path, json.dumps(config(*ports))) as process:
+            watch, _ = discovery.accept()
+            assert watch.recv(4096).startswith(b"GET /v1/servers?watch=1&from=41 HTTP/1.1\r\n")
+            with watch, connect(ports[2], process) as client:
+                client.sendall(b"*1\r\n$4\r\nPING\r\n")
+                assert client.recv(64) == b"+PONG\r\n"
+                process.send_signal(signal.SIGTERM)
+                assert client.recv(64) == b""  # closed as it is idle
+            assert process.wait(timeout=30) == 0
+            assert process.communicate() == (b"", b"")
+
+
+@pytest.mark.parametrize(
+    "text",
+    [None, "", "{nope", "[]", "{}", '{"settings": {}}', json.dumps(config(1, 1, 1) | {"listen": "here"}),
+     json.dumps(config(1, 1, 1) | {"seed": "xyz"}),
+     json.dumps(config(1, 1, 1) | {"settings": {"limits": 3}})],
+)  # fmt: skip
+def test_a_bad_configuration_gives_one_line_and_a_non_zero_exit(tmp_path: Path, text: str | None) -> None:
+    with start(tmp_path, text) as process:
+        out, err = process.communicate(timeout=60)
+    assert (process.returncode, out) == (2, b"")
+    assert err.startswith(b"lynxreel: ")
+    assert err.count(b"\n") == 1
