--- a/lynxreel/clients.py
+++ b/lynxreel/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import re
 from collections import deque
 from typing import cast
 
@@ -18,6 +19,8 @@
 ARITY = {b"CALL.GET": 4, b"CALL.POST": 5}
 CUSTOMERS = 1 << 33
 BACKLOG = 1_024
+HALF_READ = 1.0  # seconds that a stop waits for the rest of a command: longer than one is under way
+HEAD = re.compile(rb"\*\d{1,3}\r|\*\d{0,3}$")  # how a command begins
 
 
 class BadCall(ValueError):
@@ -108,6 +111,10 @@
         """Read what is whole; keep the rest, within bounds."""
         if self._ending:
             return
+        if not self._pending and not HEAD.match(data):
+            # Also guards the loop: hiredis makes room for an array of any announced length, and clears it.
+            self._malformed()
+            return
         self._pending += len(data)
         self.used = self._clients.loop.time()
         try:
@@ -160,9 +167,9 @@
         if self._ending and not self.queue:
             self.transport.close()
 
-    def end(self) -> None:
-        """Close once nothing is owed and nothing is half read."""
-        if not self._pending and not self.queue:
+    def end(self, patient: bool = True) -> None:
+        """Close once nothing is owed and, for the patient, nothing is half read."""
+        if not self.queue and not (patient and self._pending):
             self._ending = True
             self.transport.close()
 
@@ -211,7 +218,8 @@
         """Go on for a while, then close the listener and each connection as soon as nothing is owed on it."""
         await asyncio.sleep(accept)
         self._server.close()
+        patience = self.loop.time() + HALF_READ
         while self.connections:
             for connection in list(self.connections):
-                connection.end()
+                connection.end(self.loop.time() < patience)
             await asyncio.sleep(0.01)
--- a/lynxreel/counter.py
+++ b/lynxreel/counter.py
@@ -108,13 +108,21 @@
         """One call; one `Counted` follows. A name keeps to one connection, so that its answers keep order."""
         life = max(1, math.ceil(lifetime / 1_000))
         call = _Call(name, b"bump %x %.6f %d\r\n" % (name, amount, life), self.loop.time())
-        line = self._lines[hash(name) % CONNECTIONS]
+        line = self.line_of(name)
         if line is None or line.transport is None:
             self.end(call, Result.CONNECT_FAILED)
             return
         call.timer = self.loop.call_later(self._limit, self.end, call, Result.TIMEOUT)
         line.write(call)
 
+    def line_of(self, name: int) -> _Connection | None:
+        """The connection for a name."""
+        return self._lines[name % CONNECTIONS]
+
+    def ready(self) -> bool:
+        """All connections are up."""
+        return all(line is not None and line.transport is not None for line in self._lines)
+
     def answered(self, call: _Call, line: bytes) -> bool:
         """Take an answer; false where it is none."""
         word, _, rest = line.partition(b" ")
--- a/lynxreel/gateway.py
+++ b/lynxreel/gateway.py
@@ -78,6 +78,7 @@
     """A request that is owed its final answer."""
 
     call: Call
+    until: int  # when the client gives up, as told to the module
     deadline: asyncio.TimerHandle
     attempts: int = 0
     over: bool = False  # answered or left, but the module has not been told yet
@@ -118,7 +119,7 @@
         request = next(self._ids)
         left = max(0, min(call.patience, MOST_WAIT) * 1_000 - WAY)
         deadline = self._loop.call_later((left + LATE) / 1e6, self._outlived, request)
-        self._open[request] = Open(call, deadline)
+        self._open[request] = Open(call, self.clock.now() + left, deadline)
         extras = (call.units, left, call.spread, call.first, call.retry)
         self.post(api.Request(request, call.cls, call.plan, call.customer, *extras))
         return request
@@ -223,9 +224,11 @@
             moot = api.Outcome(action.request, number, action.server, api.Result.NOT_SENT, 0, held.over)
             self.post(moot)
             return
-        attempt = Attempt(action.request, number, action.server, held.call, self.clock.now())
+        now = self.clock.now()
+        left = max(0, held.until - now)
+        attempt = Attempt(action.request, number, action.server, held.call, now)
         self._out[(attempt.request, attempt.number)] = attempt
-        self.backend.send(attempt, action.timeout)
+        self.backend.send(attempt, min(action.timeout or left, left))  # 0: until the client gives up
 
     def _close(self, request: int) -> Open | None:
         """The request's one answer is due now, unless it has had it."""
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -110,6 +110,7 @@
         b"*2\r\n$4\r\nPING\r\n*1\r\n$1\r\nx\r\n",
         b"*1\r\n$x\r\n",
         b"*99999999999\r\n",
+        b"*1000000000\r\n",
         b"*2\r\n$4\r\nPING\r\n$99999999\r\n" + b"x" * 200_000,
         resp(b"CALL.POST", b"x" * 65_537),
     ],
@@ -183,3 +184,18 @@
             await connect()
 
     play(scenario)
+
+
+def test_a_half_read_command_does_not_hold_the_stop_for_ever(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("lynxreel.clients.HALF_READ", 0.02)
+
+    async def scenario(heard: Heard, clients: Clients, connect: Callable[[], Awaitable[Ends]]) -> None:
+        reader, writer = await connect()
+        writer.write(call(1) + call(2)[:-5])
+        got = await heard.calls.get()
+        stopping = asyncio.create_task(clients.stop(0.0))
+        got.served(b"x")
+        assert await reader.read() == b"$1\r\nx\r\n"
+        await stopping
+
+    play(scenario)
--- /dev/null
+++ b/tests/test_counter.py
@@ -0,0 +1,130 @@
+"""Calls to a counter on a loopback socket: each ends once, and is told for what it is."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from lynxreel import counter as module
+from lynxreel.counter import Counter
+from mothgap.interface import Counted, Result
+from tests.net import LOCAL, Peer, run
+
+LIMIT = 50_000  # microseconds
+LONG = 10_000_000
+
+
+def play(scenario: Callable[[Counter, Peer, "asyncio.Queue[Counted]"], Awaitable[None]], limit: int) -> None:
+    async def start() -> None:
+        told: asyncio.Queue[Counted] = asyncio.Queue()
+        async with Peer() as peer:
+            counter = Counter((LOCAL, peer.port), limit, told.put_nowait, asyncio.get_running_loop())
+            await up(counter)
+            await scenario(counter, peer, told)
+            counter.close()
+
+    run(start)
+
+
+async def up(counter: Counter) -> None:
+    """Until all connections are there."""
+    while not counter.ready():
+        await asyncio.sleep(0.001)
+
+
+@pytest.mark.parametrize(
+    ("reply", "result", "total"),
+    [
+        (b"ok 12.5\r\n", Result.OK, 12.5),
+        (b"busy\r\n", Result.FULL, 0.0),
+        (b"error\r\n", Result.FULL, 0.0),
+        (b"what\r\n", Result.RESET, 0.0),
+        (b"ok nan\r\n", Result.RESET, 0.0),
+        (b"ok\r\n", Result.RESET, 0.0),
+        (b"\xff" * 1_000, Result.RESET, 0.0),
+    ],
+)
+def test_each_answer_has_its_result(reply: bytes, result: Result, total: float) -> None:
+    async def scenario(counter: Counter, peer: Peer, told: "asyncio.Queue[Counted]") -> None:
+        counter.add(0xABC, -2.5, 4_000_001)
+        assert await peer.answer(reply) == b"bump abc -2.500000 4001\r\n"
+        counted = await told.get()
+        assert (counted.name, counted.result, counted.total) == (0xABC, result, total)
+
+    play(scenario, LONG)
+
+
+def test_a_name_keeps_to_one_connection_and_answers_go_to_their_calls_in_order() -> None:
+    async def scenario(counter: Counter, peer: Peer, told: "asyncio.Queue[Counted]") -> None:
+        for amount in (1.0, 2.0, 3.0):
+            counter.add(8, amount, 1_000_000)
+        writer, data = await peer.hear()
+        while data.count(b"\r\n") < 3:
+            data += (await peer.hear())[1]
+        writer.write(b"ok 1\r\nok 3\r")
+        writer.write(b"\nok 6\r\n")
+        assert [(await told.get()).total for _ in range(3)] == [1.0, 3.0, 6.0]
+
+    play(scenario, LONG)
+
+
+def test_a_late_answer_is_taken_in_its_place_and_dropped() -> None:
+    async def scenario(counter: Counter, peer: Peer, told: "asyncio.Queue[Counted]") -> None:
+        counter.add(8, 1.0, 1_000_000)
+        writer, _ = await peer.hear()
+        assert (await told.get()).result is Result.TIMEOUT
+        counter.add(8, 2.0, 1_000_000)
+        await peer.hear()
+        writer.write(b"ok 1\r\nok 3\r\n")
+        counted = await told.get()
+        assert (counted.result, counted.total) == (Result.OK, 3.0)
+        assert told.empty()
+
+    play(scenario, LIMIT)
+
+
+def test_a_break_after_the_call_is_unknown_and_without_a_connection_nothing_is_added() -> None:
+    async def scenario(counter: Counter, peer: Peer, told: "asyncio.Queue[Counted]") -> None:
+        counter.add(8, 1.0, 1_000_000)
+        writer, _ = await peer.hear()
+        writer.transport.abort()
+        assert (await told.get()).result is Result.RESET
+        counter.add(8, 1.0, 1_000_000)
+        assert (await told.get()).result is Result.CONNECT_FAILED
+        await up(counter)  # it connects again by itself
+        counter.add(8, 1.0, 1_000_000)
+        while (await peer.hear())[1] == b"":
+            pass
+        peer.writers[-1].write(b"ok 1\r\n")
+        assert (await told.get()).result is Result.OK
+
+    play(scenario, LONG)
+
+
+def test_a_quiet_connection_is_kept_up_by_pings(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "PING_AFTER", 0.0)
+    monkeypatch.setattr(module, "TEND", 0.01)
+
+    async def scenario(counter: Counter, peer: Peer, told: "asyncio.Queue[Counted]") -> None:
+        writer, data = await peer.hear()
+        assert data == b"ping\r\n"
+        name = next(n for n in range(9) if counter.line_of(n) is counter.line_of(0))
+        writer.write(b"pong\r\n")
+        assert counter.ready()
+        counter.add(name, 1.0, 1_000)
+        assert told.empty()
+
+    play(scenario, LONG)
+
+
+def test_a_connection_that_never_answers_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "DEAD_AFTER", 0.0)
+    monkeypatch.setattr(module, "TEND", 0.01)
+
+    async def scenario(counter: Counter, peer: Peer, told: "asyncio.Queue[Counted]") -> None:
+        counter.add(8, 1.0, 1_000_000)
+        assert (await peer.hear())[1] != b""
+        assert (await peer.hear())[1] == b""
+        assert (await told.get()).result is Result.RESET
+
+    play(scenario, LONG)
--- /dev/null
+++ b/tests/test_engine.py
@@ -0,0 +1,252 @@
+"""The engine between real client and server sockets, with a module that does what the test says."""
+
+import asyncio
+import re
+import typing
+from collections.abc import Awaitable, Callable, Iterator
+from pathlib import Path
+
+import pytest
+
+import mothgap.rules
+from lynxreel import gateway
+from lynxreel.clients import Clients
+from lynxreel.gateway import Clock, Engine
+from lynxreel.servers import Servers
+from mothgap import interface as api
+from tests.helpers import SETTINGS
+from tests.net import LOCAL, NAMES, Peer, call, resp, run
+from tests.test_servers import LONG, OK, at
+
+Ends = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+Script = Callable[[api.Event], Iterator[api.Action]]
+
+
+class Module:
+    """Stands in for the decisions; keeps the events in order."""
+
+    script: Script
+    events: "list[api.Event]"
+
+    def __init__(self, *_: object) -> None:
+        pass
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        Module.events.append(event)
+        return list(Module.script(event))
+
+
+class Counts:
+    """Stands in for the counter."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine = engine
+
+    def add(self, name: int, amount: float, lifetime: int) -> None:
+        self.engine.post(api.Counted(name, api.Result.OK, 0, amount))
+
+
+def play(
+    monkeypatch: pytest.MonkeyPatch,
+    script: Script,
+    scenario: Callable[[Engine, Peer, Ends], Awaitable[None]],
+) -> list[api.Event]:
+    """Play a scenario with one client and one server; return the events."""
+    Module.script, Module.events = staticmethod(script), []
+    monkeypatch.setattr(gateway, "Gateway", Module)
+
+    async def start() -> None:
+        loop = asyncio.get_running_loop()
+        engine = Engine(SETTINGS, 1, loop)
+        async with Peer() as peer:
+            servers = engine.backend = Servers(engine, SETTINGS, 15_000_000, 8, loop)
+            servers.update(at(peer.port), True)
+            engine.counter = Counts(engine)
+            clients = Clients(engine, NAMES, 8, loop)
+            await clients.listen(LOCAL, 0)
+            await scenario(engine, peer, await asyncio.open_connection(LOCAL, clients.port))
+            servers.close()
+
+    run(start)
+    return Module.events
+
+
+def send_it(event: api.Event) -> Iterator[api.Action]:
+    if isinstance(event, api.Request):
+        yield api.Send(event.id, "s-1", LONG)
+
+
+def test_a_served_request_goes_there_and_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario(engine: Engine, peer: Peer, ends: Ends) -> None:
+        reader, writer = ends
+        writer.write(call(1))
+        data = await peer.answer(OK)
+        told = re.search(rb",d=(\d+),", data)
+        assert told is not None
+        assert 0 < int(told[1]) <= 890  # the client's patience, however long the module would wait
+        assert data == call(1).replace(b",d=900,", told[0])
+        assert await reader.readexactly(11) == b"$5\r\nvalue\r\n"
+
+    request, outcome = play(monkeypatch, send_it, scenario)
+    assert request == api.Request(1, 0, 0, 0xAB, 2.0, 890_000, 2, 1, False)
+    assert isinstance(outcome, api.Outcome)
+    assert (outcome.result, outcome.final, outcome.load) == (api.Result.OK, True, (2.0, 7.0))
+
+
+def test_an_error_in_handling_one_request_answers_it_and_the_next_is_served(
+    monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+) -> None:
+    def script(event: api.Event) -> Iterator[api.Action]:
+        if isinstance(event, api.Request) and event.id == 1:
+            raise ZeroDivisionError("boom")
+        yield from send_it(event)
+
+    async def scenario(engine: Engine, peer: Peer, ends: Ends) -> None:
+        reader, writer = ends
+        writer.write(call(1) + call(2))
+        assert await reader.readline() == b"-ERR failed\r\n"
+        await peer.answer(OK)
+        assert await reader.readexactly(11) == b"$5\r\nvalue\r\n"
+
+    events = play(monkeypatch, script, scenario)
+    assert api.Expired(1) in events
+    assert "boom" in capfd.readouterr().err
+
+
+def test_an_action_without_code_is_told_and_does_not_pass_silently(
+    monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+) -> None:
+    def script(event: api.Event) -> Iterator[api.Action]:
+        if isinstance(event, api.Request):
+            yield api.Probe("s-1")
+
+    async def scenario(engine: Engine, peer: Peer, ends: Ends) -> None:
+        ends[1].write(call(1))
+        assert await ends[0].readline() == b"-ERR failed\r\n"
+
+    play(monkeypatch, script, scenario)
+    assert "NotImplementedError" in capfd.readouterr().err
+
+
+def test_the_module_emits_no_action_without_code() -> None:
+    code = Path(gateway.__file__).read_text()
+    rules = Path(mothgap.rules.__file__).read_text()
+    for action in typing.get_args(api.Action):
+        if re.search(rf"\b{action.__name__}\(", rules.split("class Gateway")[1]):
+            assert f"case api.{action.__name__}()" in code
+
+
+def test_a_request_that_the_module_forgets_is_answered_in_time(
+    monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+) -> None:
+    def script(event: api.Event) -> Iterator[api.Action]:
+        return iter(())
+
+    async def scenario(engine: Engine, peer: Peer, ends: Ends) -> None:
+        ends[1].write(call(1, b"c=lookup,t=basic,d=40"))
+        assert await ends[0].readline() == b"-ERR failed\r\n"
+
+    assert api.Expired(1) in play(monkeypatch, script, scenario)
+    assert "time run out" in capfd.readouterr().err
+
+
+def test_one_answer_whatever_the_module_says_after_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    def script(event: api.Event) -> Iterator[api.Action]:
+        if isinstance(event, api.Request):
+            yield from (api.Refuse(event.id, 5_000), api.Fail(event.id), api.Refuse(event.id))
+
+    async def scenario(engine: Engine, peer: Peer, ends: Ends) -> None:
+        ends[1].write(call(1) + resp(b"PING"))
+        assert await ends[0].readline() == b"-BUSY 5\r\n"
+        assert await ends[0].readline() == b"+PONG\r\n"
+
+    play(monkeypatch, script, scenario)
+
+
+def test_a_send_for_a_client_that_has_gone_is_not_sent(monkeypatch: pytest.MonkeyPatch) -> None:
+    done = asyncio.Event()
+
+    def script(event: api.Event) -> Iterator[api.Action]:
+        if isinstance(event, api.Outcome):
+            done.set()
+        yield from send_it(event)
+
+    async def scenario(engine: Engine, peer: Peer, ends: Ends) -> None:
+        stub = typing.cast(gateway.Call, Gone())
+        engine.gone(engine.submit(stub))  # before the module's turn
+        await done.wait()
+        assert peer.came.empty()
+
+    events = play(monkeypatch, script, scenario)
+    moot = api.Outcome(1, 0, "s-1", api.Result.NOT_SENT, 0, True)
+    assert [type(events[0]), *events[1:]] == [api.Request, api.Expired(1), moot]
+
+
+class Gone:
+    """A call whose client has left: an answer to it is an error."""
+
+    cls = plan = customer = first = 0
+    units, patience, spread, retry = 1.0, 1_000, 1, False
+
+
+def test_news_goes_before_requests_that_were_queued_earlier(monkeypatch: pytest.MonkeyPatch) -> None:
+    told = asyncio.Event()
+    news = api.Members(api.ListKind.CHANGES, 2, ())
+
+    def script(event: api.Event) -> Iterator[api.Action]:
+        if isinstance(event, api.Request):
+            told.set()
+        return iter(())
+
+    async def scenario(engine: Engine, peer: Peer, ends: Ends) -> None:
+        engine.submit(typing.cast(gateway.Call, Gone()))
+        engine.news(news)
+        await told.wait()
+
+    events = play(monkeypatch, script, scenario)
+    assert events[0] == news
+
+
+def test_cancel_timer_and_count_come_back_as_events(monkeypatch: pytest.MonkeyPatch) -> None:
+    done = asyncio.Event()
+
+    def script(event: api.Event) -> Iterator[api.Action]:
+        match event:
+            case api.Request(id=request):
+                yield api.Count(9, 2.0, 1_000_000)
+                yield api.Send(request, "s-1", LONG)
+            case api.Counted():
+                yield api.SetTimer(20_000, 3)
+            case api.Timer(token=3):
+                yield api.Cancel(1, 0)
+            case api.Outcome():
+                yield api.Fail(1)
+                done.set()
+
+    async def scenario(engine: Engine, peer: Peer, ends: Ends) -> None:
+        ends[1].write(call(1))
+        assert (await peer.hear())[1] != b""
+        assert await ends[0].readline() == b"-ERR failed\r\n"
+        assert (await peer.hear())[1] == b""
+        await done.wait()
+
+    events = play(monkeypatch, script, scenario)
+    assert [type(event) for event in events] == [api.Request, api.Counted, api.Timer, api.Outcome]
+    assert isinstance(events[-1], api.Outcome)
+    assert (events[-1].result, events[-1].final) == (api.Result.CANCELLED, False)
+
+
+def test_gateways_share_one_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards the windows of the counts: their numbers come from the clock, and must be the same everywhere.
+    unix, since = 1_800_000_000_000_000_000, {"now": 5_000_000_000}
+    monkeypatch.setattr("time.time_ns", lambda: unix + since["now"])
+    monkeypatch.setattr("time.monotonic_ns", lambda: since["now"])
+    first = Clock()
+    since["now"] += 7_000_000_000
+    monkeypatch.setattr("time.monotonic_ns", lambda: since["now"] - 6_000_000_000)  # another machine's start
+    second = Clock()
+    assert second.now() == (unix + since["now"]) // 1_000
+    monkeypatch.setattr("time.monotonic_ns", lambda: since["now"])
+    assert first.now() == (unix + since["now"]) // 1_000
+    monkeypatch.setattr("time.time_ns", lambda: 0)  # a system clock set back
+    assert first.now() == (unix + since["now"]) // 1_000
