--- a/lynxreel/counter.py
+++ b/lynxreel/counter.py
@@ -57,6 +57,10 @@
         """All bytes have left."""
         self._unwritten = False
 
+    def usable(self) -> bool:
+        """False where the other end has closed it, though that has not been told yet: a write would be lost."""
+        return self.transport is not None and not self.transport.is_closing()
+
     def write(self, call: _Call) -> None:
         """Send a call."""
         assert self.transport is not None
@@ -109,7 +113,7 @@
         life = max(1, math.ceil(lifetime / 1_000))
         call = _Call(name, b"bump %x %.6f %d\r\n" % (name, amount, life), self.loop.time())
         line = self.line_of(name)
-        if line is None or line.transport is None:
+        if line is None or not line.usable():
             self.end(call, Result.CONNECT_FAILED)
             return
         call.timer = self.loop.call_later(self._limit, self.end, call, Result.TIMEOUT)
@@ -119,10 +123,6 @@
         """The connection for a name."""
         return self._lines[name % CONNECTIONS]
 
-    def ready(self) -> bool:
-        """All connections are up."""
-        return all(line is not None and line.transport is not None for line in self._lines)
-
     def answered(self, call: _Call, line: bytes) -> bool:
         """Take an answer; false where it is none."""
         word, _, rest = line.partition(b" ")
@@ -171,7 +171,7 @@
             now = self.loop.time()
             if line.written and now - line.written[0].at > DEAD_AFTER:
                 line.drop()
-            elif not line.written and now - line.heard > PING_AFTER and line.transport is not None:
+            elif not line.written and now - line.heard > PING_AFTER and line.usable():
                 line.write(_Call(None, b"ping\r\n", now))
 
     def close(self) -> None:
--- a/lynxreel/servers.py
+++ b/lynxreel/servers.py
@@ -37,6 +37,10 @@
         if self._dropped:  # given up while it came up
             self.drop()
 
+    def usable(self) -> bool:
+        """False where the other end has closed it, though that has not been told yet: a write would be lost."""
+        return self.transport is not None and not self.transport.is_closing()
+
     def carry(self, attempt: Attempt, command: bytes) -> None:
         """Send a request."""
         assert self.transport is not None
@@ -160,6 +164,8 @@
         """Start an attempt, on an idle connection or a new one."""
         timer = self.loop.call_later(max(0, timeout) / 1e6, self._timed_out, attempt)
         pool = self._pools.get(attempt.server)
+        while pool is not None and pool.idle and not pool.idle[-1].usable():
+            pool.idle.pop()
         self._out[attempt] = (timer, None)
         if pool is None:
             self.end(attempt, Result.CONNECT_FAILED)
@@ -193,7 +199,7 @@
         finally:
             self._connects.pop(attempt, None)
         now = self._engine.clock.now()
-        if connection.transport is None or (pool.stop_at is not None and now >= pool.stop_at):
+        if not connection.usable() or (pool.stop_at is not None and now >= pool.stop_at):
             # It did not come up, or only when the drain's grace was over: nothing may be written now.
             connection.drop()
             self.end(attempt, Result.CONNECT_FAILED)
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -28,7 +28,7 @@
 
 async def up(counter: Counter) -> None:
     """Until all connections are there."""
-    while not counter.ready():
+    while not all((line := counter.line_of(n)) is not None and line.usable() for n in range(2)):
         await asyncio.sleep(0.001)
 
 
@@ -110,7 +110,6 @@
         assert data == b"ping\r\n"
         name = next(n for n in range(9) if counter.line_of(n) is counter.line_of(0))
         writer.write(b"pong\r\n")
-        assert counter.ready()
         counter.add(name, 1.0, 1_000)
         assert told.empty()
 
@@ -128,3 +127,16 @@
         assert (await told.get()).result is Result.RESET
 
     play(scenario, LONG)
+
+
+def test_a_call_on_a_connection_that_is_closing_adds_nothing() -> None:
+    # Guards against a write that the transport drops because the other end's close is still to be told.
+    async def scenario(counter: Counter, peer: Peer, told: "asyncio.Queue[Counted]") -> None:
+        line = counter.line_of(8)
+        assert line is not None
+        assert line.transport is not None
+        line.transport.close()
+        counter.add(8, 1.0, 1_000_000)
+        assert (await told.get()).result is Result.CONNECT_FAILED
+
+    play(scenario, LONG)
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -48,6 +48,10 @@
         self.servers.send(attempt, timeout)
         return attempt
 
+    def transports(self) -> list[asyncio.Transport]:
+        connections = [c for pool in self.servers._pools.values() for c in pool.all]
+        return [c.transport for c in connections if c.transport is not None]
+
     async def end(self) -> tuple[int, Result]:
         return (await self.heard.ended.get())[:2]
 
@@ -312,3 +316,24 @@
             assert (await peer.hear())[0] is first
 
     run(scenario)
+
+
+def test_an_idle_connection_that_is_closing_is_not_used() -> None:
+    # Guards against a write that the transport drops because the other end's close is still to be told: the
+    # request never left, but would count as a reset, and an unsafe one could not be tried again.
+    async def scenario() -> None:
+        async with Peer() as peer:
+            bench = Bench(peer.port)
+            bench.send()
+            await peer.answer(OK)
+            await bench.end()
+            for transport in bench.transports():
+                transport.close()
+            bench.send(size=12)
+            while (heard := (await peer.hear())[1]) == b"":
+                pass
+            peer.writers[-1].write(OK)
+            assert heard == resp(b"CALL.GET", b"x" * 12)
+            assert await bench.end() == (2, Result.OK)
+
+    run(scenario)
