--- a/lynxreel/counter.py
+++ b/lynxreel/counter.py
@@ -58,7 +58,7 @@
         self._unwritten = False
 
     def usable(self) -> bool:
-        """False where the other end has closed it, though that has not been told yet: a write would be lost."""
+        """False where the other end has closed it, though it has not been told: a write would be lost."""
         return self.transport is not None and not self.transport.is_closing()
 
     def write(self, call: _Call) -> None:
--- a/lynxreel/servers.py
+++ b/lynxreel/servers.py
@@ -38,7 +38,7 @@
             self.drop()
 
     def usable(self) -> bool:
-        """False where the other end has closed it, though that has not been told yet: a write would be lost."""
+        """False where the other end has closed it, though it has not been told: a write would be lost."""
         return self.transport is not None and not self.transport.is_closing()
 
     def carry(self, attempt: Attempt, command: bytes) -> None:
