The breaker opens only where the counter is away; what passes uncounted is owed; lost adds are not others' use

Causes in rules.py: _on_counted counted every call without a total as a failure, so that three calls late in one queue, on one broken connection, or turned away opened the breaker, under which a request costs as much as all gateways that share the customer; the first answer then set the share of calls to 1 and crowded the counter anew. Failures now count one after another, each sent after the one before had failed; a refusal is an answer. A sampled call stood for the others by adding units / share, up to five times a request's units, which passed small bursts at once: in small fleets, what passes without a call is owed and added with the next. An add without an answer was taken for others' use with the next total (_on_counted): it is kept as this gateway's own. Ruled out: the attempts (4% cancelled), connects, CPU.

--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -63,15 +63,16 @@
 class _Customer:
     """What this gateway knows of one customer's use. `debt` is units taken and not yet refilled, over all."""
 
-    __slots__ = ("at", "ceiling", "closed", "debt", "limit_at", "looks", "open", "over", "own", "owed",
-                 "total", "window")
+    __slots__ = ("at", "ceiling", "closed", "debt", "limit_at", "looks", "lost", "open", "over", "own",
+                 "owed", "total", "window")
 
     def __init__(self, now: int) -> None:
         self.debt, self.at = 0.0, now
         self.window, self.total, self.own = -1, 0.0, 0.0  # window number, last total in it, own adds in it
         self.looks, self.over = 0.0, 0.0  # decisions by total, and refusals among them, fading
         self.closed = -1  # number of a window in which it is refused without a call
-        self.owed = 0.0  # to be added with the next call in the window
+        self.lost = 0.0  # adds in the window whose answer never came: the next total holds them
+        self.owed = 0.0  # units that passed without a call: to be added with the next one
         self.ceiling, self.limit_at = 0.0, now
         self.open = 0
 
@@ -177,7 +178,9 @@
         self._asked: dict[int, list[int | None]] = {}  # count name: requests of its open calls
         self._amounts: dict[int, list[tuple[_Customer, float]]] = {}
         self._usual = [0.0 for _ in settings.classes]  # running mean answer time by class
-        self._failed, self._trial_at = 0, now  # counter calls failed in a row; when to try next
+        # Counter calls failed in a row, each sent after the one before had; when the last one did.
+        self._failed, self._failed_at = 0, now - NAME_LIFE
+        self._trial_at = now  # when to try next
         self._patience = [(0, 0) for _ in settings.classes]  # usual time left of a try, and votes for it
         self._over = [0.0 for _ in settings.plans]  # part of the decisions by total that were refusals
         self._calling, self._calling_cut = 1.0, now  # share of the requests that call; when it was last cut
@@ -239,8 +242,8 @@
             if hot and share < 1.0:
                 share *= min(1.0, HOT_CALLS * (1.0 - doubt))
             if self._random.random() < share:
-                # Where the others pass, this call stands for them too.
-                job.added = request.units if hot else request.units / share
+                # In a large fleet a customer may not come here again: this stands for those that pass.
+                job.added = request.units if hot or self._pooled is None else request.units / share
                 self._count(job, plan, request.id, job.added)
                 if self._s.counter.time_limit > patience:
                     self._set_timer(patience, request.id, None)
@@ -306,8 +309,9 @@
         number, length = self._window(job.request.customer, plan)
         name = (job.request.customer << 24 | number & 0xFFFFFF) & 0xFFFFFFFFFFFFFFFF
         if job.customer.window != name:
-            job.customer.window, job.customer.total, job.customer.own, job.customer.owed = name, 0.0, 0.0, 0.0
-        units, job.customer.owed = units + job.customer.owed, 0.0
+            job.customer.window, job.customer.total, job.customer.own, job.customer.lost = name, 0.0, 0.0, 0.0
+        # What has been refilled since is owed no more.
+        units, job.customer.owed = units + min(job.customer.owed, job.customer.debt), 0.0
         self._asked.setdefault(name, []).append(waiting)
         self._amounts.setdefault(name, []).append((job.customer, units))
         self._out.append(Count(name, units, min(NAME_LIFE, 2 * length)))
@@ -320,15 +324,15 @@
         job = self._jobs.get(waiting) if waiting is not None else None
         self._pace_calls(event)
         if event.result is not Result.OK:
-            self._failed += 1
+            self._count_failed(event, customer, amount)
             if job is not None and job.held:
                 self._decide_alone(job, self._s.plans[job.request.plan])
             return
         self._failed = 0
         others = 0.0
         if event.name == customer.window:
-            others = event.total - customer.total - amount
-            customer.own += amount
+            others = event.total - customer.total - amount - customer.lost
+            customer.own, customer.lost = customer.own + amount, 0.0
             if event.total < customer.own - 0.5:
                 # The count was lost: what this gateway remembers stays as the lower bound.
                 others, customer.own = 0.0, amount
@@ -344,16 +348,29 @@
         customer.over += over
         self._over[job.request.plan] += PACE_SMOOTH * (over - self._over[job.request.plan])
         if not over and self._may_pass(job, plan):
-            customer.debt += job.added
+            customer.debt += job.request.units
             self._try(job)
         else:
             if over and self._calling < 1.0:
                 customer.closed = self._window(job.request.customer, plan)[0]
-            self._take_back(job, plan)
             self._end(job)
 
+    def _count_failed(self, event: Counted, customer: _Customer, amount: float) -> None:
+        """No total. What was not added is owed; what may have been is this gateway's own in the next total.
+
+        It is away when calls fail one after another, each sent after the one before it had failed: those
+        in one queue or on one broken connection fail together. A counter that turns calls away is there.
+        """
+        if event.result.never_ran:
+            customer.owed += amount
+        elif event.name == customer.window:
+            customer.lost += amount
+            customer.own += min(0.0, amount)
+        if event.result is not Result.FULL and self._now - event.elapsed >= self._failed_at:
+            self._failed, self._failed_at = self._failed + 1, self._now
+
     def _pace_calls(self, event: Counted) -> None:
-        """A crowded counter is called for a share of the requests; each call then counts for all of them.
+        """A crowded counter is called for a share of the requests; a call then adds what others left owed.
 
         Guards against calls that the counter works on when nobody waits for them any more, which would lose
         the totals of all. Answers in time, however few, let the share grow again.
@@ -367,21 +384,18 @@
         elif self._now - event.elapsed >= self._calling_cut:
             self._calling, self._calling_cut = max(CALL_LEAST, self._calling * CALL_CUT), self._now
 
-    def _take_back(self, job: _Job, plan: Plan) -> None:
-        """Add a refused request's units back; on a crowded counter, with the next call for the customer."""
-        if self._calling >= 1.0:
-            self._count(job, plan, None, -job.added)
-        else:
-            job.customer.owed -= job.added
-        job.added = 0.0
-
     def _settle(self, job: _Job, units: float) -> None:
-        """Units that turned out otherwise than counted: guesses, or a request that no server could take."""
-        plan = self._s.plans[job.request.plan]
-        if plan.rate > 0 and units:
-            job.customer.debt = max(0.0, job.customer.debt + units)
-            if job.added and self._failed < BREAKER_TRIP:
-                self._count(job, plan, None, units * job.added / job.request.units)
+        """Units that turned out otherwise than counted: guesses, or a request that was not sent on.
+
+        On a crowded counter they are added with the next call for the customer.
+        """
+        if not job.added:
+            return
+        units *= job.added / job.request.units
+        if self._calling >= 1.0 and self._failed < BREAKER_TRIP:
+            self._count(job, self._s.plans[job.request.plan], None, units)
+        else:
+            job.customer.owed += units
 
     def _decide_alone(self, job: _Job, plan: Plan) -> None:
         """Exception: no total to be had. After a lost answer, the totals before it decide.
@@ -394,6 +408,8 @@
         # One request may cost more than the burst where many gateways share it: it waits for an empty debt.
         if customer.debt + cost <= max(plan.burst, cost) and self._may_pass(job, plan):
             customer.debt += cost
+            if not job.added and self._pooled is None and self._failed < BREAKER_TRIP:
+                customer.owed, job.added = customer.owed + job.request.units, job.request.units
             self._try(job)
         else:
             self._end(job)
@@ -572,7 +588,9 @@
         job.customer.open = max(0, job.customer.open - 1) if not job.live else job.customer.open
         if event.final:
             if event.result is Result.OK and self._s.units_settle and event.true_units is not None:
-                self._settle(job, event.true_units - job.request.units)
+                units = event.true_units - job.request.units
+                job.customer.debt = max(0.0, job.customer.debt + units)
+                self._settle(job, units)
             del self._jobs[event.request]
             return
         if live is not None and not event.result.never_ran:
@@ -674,7 +692,9 @@
             if self._s.limits.may_cancel:
                 self._out.append(Cancel(job.request.id, attempt))
         harmless = not job.live and (not job.ran or job.cls.effect is Effect.REPEATABLE)
-        if not job.attempts and not job.held:
+        if not job.attempts:
+            if not job.held:
+                job.customer.debt = max(0.0, job.customer.debt - job.request.units)
             self._settle(job, -job.request.units)
         if harmless:
             self._out.append(Refuse(job.request.id, self._retry_after(job)))
