Calls to a crowded counter: slower growth, a lower floor, and first where a total tells most

Late calls take the counter's work from those that somebody waits for.

Tests for the breaker, for owed units and for lost adds, each seen to fail with the module as it was before.

--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -28,10 +28,11 @@
 BREAKER_TRIP = 3  # counter calls failed in a row before requests stop waiting for it: one or two are chance
 TRIAL_EVERY = 4  # counter time-outs between trial calls while the breaker is open: light work for it
 CALL_CUT = 0.7  # what is left of the share of requests that call, after a call that found the counter crowded
-CALL_RAISE = 0.05  # how much that share grows with a prompt answer; with the cut, one call in ten is late
+CALL_RAISE = 0.02  # how much that share grows with a prompt answer; with the cut, one call in ten is late
 CALL_SLOW = 0.5  # of the counter's time limit; after slower answers the share of calls does not grow
 TRY_MATCH = 0.01  # of a class's deadline; how near to the usual patience a first try's time left is
-CALL_LEAST = 0.2  # of the requests that call at the least, so that a counter with room again is noticed soon
+CALL_LEAST = 0.1  # of the requests that call at the least, so that a counter with room again is noticed soon
+CALL_NEED = 0.5  # of that share; what a customer far from its burst gets, against one that is half way there
 LOOK_WINDOWS = 8.0  # windows after which what totals said of a customer has faded: long spells last longer
 HOT_CALLS = 2.0  # calls for a customer beyond its quota, for each that is likely to find room
 SMOOTH = 0.2  # share of a new reading in a running mean: about the last ten readings count
@@ -241,6 +242,9 @@
             share = self._calling
             if hot and share < 1.0:
                 share *= min(1.0, HOT_CALLS * (1.0 - doubt))
+            elif share < 1.0 and self._pooled is None:
+                # The nearer to the burst, the more a total tells; what is far from it is owed meanwhile.
+                share *= max(CALL_NEED, 2.0 * (customer.debt + request.units) / plan.burst)
             if self._random.random() < share:
                 # In a large fleet a customer may not come here again: this stands for those that pass.
                 job.added = request.units if hot or self._pooled is None else request.units / share
--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -186,3 +186,57 @@
         driver.admitted(cls=cls)
         assert "Cancel" not in kinds(driver.wait(300 * MS))
         driver.finish()
+
+
+def test_calls_that_fail_together_do_not_mean_that_the_counter_is_away() -> None:
+    # Calls in one late queue, or on one broken connection, fail at once: while the counter is taken to be away, a
+    # request costs as much as all gateways that share the customer, and most are refused with room.
+    driver = Driver()
+    driver.request(entry_points=4)
+    assert kinds(driver.counted(1.0)) == ["Send"]
+    for customer in range(1, 6):
+        driver.request(customer=customer)
+    for result in (Result.TIMEOUT, Result.TIMEOUT, Result.RESET, Result.RESET, Result.FULL):
+        driver.counted(result=result)
+    driver.finish()
+    driver.gateway._calling = 1.0  # which of the requests call is not the matter here
+    assert kinds(driver.request(units=2.0, entry_points=4)) == ["Count"]
+    assert kinds(driver.counted(result=Result.TIMEOUT)) == ["Send"]
+
+
+def test_what_passes_without_a_call_is_added_with_the_next_one() -> None:
+    driver = Driver()
+    added, passed, largest = 0.0, 0, 0.0
+    for share in (0.3, 0.3, 0.3, 0.3, 0.3, 1.0):  # of the requests that call: the counter is crowded, then not
+        driver.gateway._calling = share
+        actions = driver.request()
+        if driver.calls:
+            added += driver.calls[0].amount
+            largest = max(largest, driver.calls[0].amount)
+            actions = driver.counted(added)
+            assert added == passed + 1
+        passed += kinds(actions).count("Send")
+        driver.finish()
+    assert (passed, added) == (6, 6.0)
+    assert largest > 1.0  # some did pass without one
+
+
+def test_an_add_whose_answer_was_lost_is_not_taken_for_the_use_of_others() -> None:
+    driver = Driver()
+    sends = []
+    for total in (2.0, 4.0, 6.0, 8.0):
+        for result in (Result.RESET, Result.OK):
+            driver.gateway._calling = 1.0  # which of the requests call is not the matter here
+            driver.request()
+            sends += kinds(driver.counted(total, result))
+            driver.finish()
+    assert sends == ["Send"] * 8  # the whole burst
+
+
+def test_what_was_turned_away_is_added_with_the_next_call() -> None:
+    driver = Driver()
+    driver.request(units=2.0)
+    assert kinds(driver.counted(result=Result.FULL)) == ["Send"]
+    driver.gateway._calling = 1.0  # which of the requests call is not the matter here
+    driver.request(units=1.0)
+    assert driver.calls[0].amount == 3.0
