--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -189,7 +189,7 @@
 
 
 def test_calls_that_fail_together_do_not_mean_that_the_counter_is_away() -> None:
-    # Calls in one late queue, or on one broken connection, fail at once: while the counter is taken to be away, a
+    # Calls in one late queue or on one broken connection fail at once. While it is taken to be away, a
     # request costs as much as all gateways that share the customer, and most are refused with room.
     driver = Driver()
     driver.request(entry_points=4)
@@ -207,7 +207,7 @@
 def test_what_passes_without_a_call_is_added_with_the_next_one() -> None:
     driver = Driver()
     added, passed, largest = 0.0, 0, 0.0
-    for share in (0.3, 0.3, 0.3, 0.3, 0.3, 1.0):  # of the requests that call: the counter is crowded, then not
+    for share in (0.3, 0.3, 0.3, 0.3, 0.3, 1.0):  # the counter is crowded, then not
         driver.gateway._calling = share
         actions = driver.request()
         if driver.calls:
