A silent server gets a second copy in place of a cancel, and only a first attempt is split

Answers of one server come to one gateway every 80 ms or so, so that 120 ms of silence are no sign. Causes in rules.py: _try set the timer for each attempt, though FIRST_SPLIT is meant for the first of two; _on_timer gave up what runs on at the server in any case, where the settings allow a second copy of what is safe to repeat. Also: Expired left the customer's count of open requests too high for good, so that it was never dropped, and units counted for a request that was never sent on; ghosts of a server that never answers grew; each request copied the whole table of customers to look at two of them.

Tests seen to fail with the module as it was.

--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -16,6 +16,7 @@
 import math
 import random
 from collections import OrderedDict
+from itertools import islice
 
 from mothgap.interface import (
     Action, Cancel, Count, Counted, Effect, Event, Expired, Fail, Group, ListKind, Member, Members, Outcome,
@@ -207,7 +208,7 @@
             case Members():
                 self._on_members(event)
             case Expired():
-                self._jobs.pop(event.request, None)
+                self._on_expired(event)
         return self._out
 
     # --- meter ------------------------------------------------------------------------------------------
@@ -278,7 +279,7 @@
             # The ceiling's share starts empty at boot, so that no restart refills it.
             customer.limit_at = self._born
         self._customers.move_to_end(request.customer)
-        for name in list(self._customers)[:2] if len(self._customers) > 64 else ():
+        for name in list(islice(self._customers, 2)) if len(self._customers) > 64 else ():
             old = self._customers[name]
             if old is not customer and not old.open and self._now - old.at > NAME_LIFE // 2:
                 del self._customers[name]
@@ -555,9 +556,13 @@
         if server is None:
             self._end(job)
             return
-        left = job.deadline - self._now
+        self._send(job, server)
+
+    def _send(self, job: _Job, server: _Server) -> None:
+        left, until_aim = job.deadline - self._now, job.aim_at - self._now - self._s.tick
         timeout = left if job.cls.late_worth > 0 else min(left, until_aim)
-        if job.cls.effect is not Effect.ONCE and job.attempts + 1 < self._s.limits.max_attempts:
+        repeatable = job.cls.effect is not Effect.ONCE and job.attempts + 1 < self._s.limits.max_attempts
+        if repeatable and not job.ran and not job.live:  # a further one has what is left
             if self._s.limits.may_cancel:
                 self._set_timer(int(until_aim * FIRST_SPLIT), job.request.id, job.attempts)
             elif job.attempts == 0:
@@ -589,7 +594,8 @@
         if job is None:
             return
         live = job.live.pop(event.attempt, None)
-        job.customer.open = max(0, job.customer.open - 1) if not job.live else job.customer.open
+        if event.final or not job.live:  # a second copy may be out still; the request is not
+            job.customer.open = max(0, job.customer.open - 1)
         if event.final:
             if event.result is Result.OK and self._s.units_settle and event.true_units is not None:
                 units = event.true_units - job.request.units
@@ -608,6 +614,14 @@
         else:
             self._end(job)
 
+    def _on_expired(self, event: Expired) -> None:
+        """The client has left. What is out runs on; what was counted and never sent on is not used."""
+        job = self._jobs.pop(event.request, None)
+        if job is not None and job.attempts == 0:
+            self._settle(job, -job.request.units)
+        elif job is not None and job.live:
+            job.customer.open = max(0, job.customer.open - 1)
+
     def _pace_limit(self, server: _Server, event: Outcome, job: _Job | None) -> None:
         """Overload: keep so little at a server that answers meet their aims; the rest is refused.
 
@@ -619,7 +633,8 @@
         used = self._credit < self._longest / 2 if self._pooled else len(server.out) + 1 >= limit.most / 2
         late = event.result is Result.FULL
         if event.result in (Result.TIMEOUT, Result.CANCELLED):
-            server.ghosts.append(sent)
+            old = self._now - int(GHOST_AIMS * self._longest)
+            server.ghosts = [ghost for ghost in server.ghosts if ghost > old] + [sent]
             late = True
         elif event.result is Result.OK:
             server.ghosts = [ghost for ghost in server.ghosts if ghost > sent]
@@ -681,7 +696,14 @@
             return
         if server.silent(self._now, sent):
             server.put_aside(self._now, self._aside_span())
-            self._out.append(Cancel(job.request.id, attempt))
+            if self._s.limits.second_copies and job.cls.effect is Effect.REPEATABLE:
+                # It may only be slow, and what runs there goes on in any case: the first answer counts.
+                other = self._choose(job, server.line.server)
+                if other is not None:
+                    self._retries -= 1
+                    self._send(job, other)
+            else:
+                self._out.append(Cancel(job.request.id, attempt))
 
     def _set_timer(self, delay: int, request: int, attempt: int | None) -> None:
         self._token = (self._token + 1) & 0xFFFFFFFF
@@ -739,6 +761,7 @@
                 server = self._servers[line.server]
                 if line.started_at != server.line.started_at:
                     server.aside, server.errors, server.pace, server.seen = False, 0.0, 1.0, 0
+                    server.ghosts = []
                     server.cold_left, server.cold_at = self._random.random(), self._now
                 server.line = line
             else:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -7,7 +7,7 @@
 from mothgap.interface import (
     Cancel, Count, Effect, Group, Limits, ListKind, Members, RequestClass, Result, Send, State,
 )
-from tests.helpers import KEYED, MS, ONCE, REPEATABLE, SECOND, SETTINGS, Driver, kinds, line
+from tests.helpers import CUSTOMER, KEYED, MS, ONCE, REPEATABLE, SECOND, SETTINGS, Driver, kinds, line
 
 
 def other(send: Send, driver: Driver) -> Send:
@@ -228,3 +228,57 @@
     driver.feed(Members(ListKind.FAILED, 2, ()))
     assert kinds(driver.wait(2 * SECOND)) == ["Watch"]
     assert driver.admitted().server in driver.lines  # the list before stays
+
+
+SECOND_COPIES = replace(SETTINGS, limits=Limits(max_attempts=4, may_cancel=True, second_copies=True))
+
+
+def test_where_a_second_copy_may_be_out_a_silent_server_is_not_given_up() -> None:
+    # It may only be slow, and what runs there goes on in any case. A cancel ends the connection and makes the
+    # gateway take what it gave up for work that still waits there.
+    driver = Driver(SECOND_COPIES)
+    send = driver.admitted()
+    assert kinds(driver.wait(600 * MS)) == ["Send"]
+    second = other(send, driver)
+    assert (second.request, second.server != send.server) == (send.request, True)
+    assert kinds(driver.wait(390 * MS)) == []  # the second has the rest of the time
+    assert kinds(driver.outcome(send.request, Result.OK, 0)) == []
+    assert kinds(driver.outcome(send.request, Result.OK, 1)) == []
+    assert driver.gateway._customers[CUSTOMER].open == 0
+
+
+@pytest.mark.parametrize("cls", [KEYED, ONCE])
+def test_no_second_copy_is_sent_of_what_is_not_safe_to_repeat(cls: int) -> None:
+    driver = Driver(SECOND_COPIES)
+    driver.admitted(cls=cls)
+    assert "Send" not in kinds(driver.wait(700 * MS))
+
+
+def test_a_further_attempt_has_all_the_time_that_is_left() -> None:
+    driver = Driver()
+    send = driver.admitted()
+    assert kinds(driver.wait(600 * MS)) == ["Cancel"]
+    driver.outcome(send.request, Result.CANCELLED)
+    assert "Cancel" not in kinds(driver.wait(390 * MS))
+
+
+def test_a_client_that_leaves_frees_what_it_had() -> None:
+    # Guards memory, as a customer with anything open is kept, and the quota: what was not sent is not used.
+    driver = Driver()
+    send = driver.admitted(units=2.0)
+    driver.expire(send.request)
+    assert driver.gateway._customers[CUSTOMER].open == 0
+    driver.request(units=2.0)
+    driver.expire(send.request + 1)
+    assert driver.calls[-1].amount == -2.0
+
+
+def test_attempts_given_up_at_a_server_that_never_answers_are_forgotten() -> None:
+    driver = Driver(servers=1)
+    for _ in range(60):
+        driver.request(customer=driver.next_id)
+        while driver.calls:
+            driver.counted(1.0)
+        driver.wait(2 * SECOND)
+    assert kinds(driver.actions).count("Send") > 20
+    assert len(driver.gateway._servers["10.0.0.1:80"].ghosts) <= 6
