Ages of kept connections are learnt; adds that a total does not hold are owed; resets do not mean a crowded counter

What stands between forgets connections long before the 15 s of the settings: servers.py trusts an age by what its last uses came to (Ages); of what is not trusted, one safe request in eight tries. Only late and refused calls cut it now.

--- a/lynxreel/servers.py
+++ b/lynxreel/servers.py
@@ -11,8 +11,14 @@
 
 from lynxreel import resp
 from lynxreel.gateway import Attempt, Engine
-from mothgap.interface import Member, Result, Settings, State
-
+from mothgap.interface import Effect, Member, Result, Settings, State
+
+AGE = 0.025  # seconds idle in the first step of a table of ages; each further step is twice as long
+AGES = 12
+AGE_FADE = 0.95  # what is left of the earlier evidence with each use: the last twenty count
+AGE_RESETS = 0.2  # share of uses that ended as resets over which an age is not trusted
+AGE_DOUBT = 8.0  # uses without a reset that are taken for granted: one chance reset condemns no age
+AGE_TRIAL = 8  # one in so many requests that are safe to repeat tries an age that is not trusted
 SWEEP = 1.0  # seconds between looks for connections that have idled too long
 SETTLE = 0.01  # seconds that a connection rests after an answer: what else comes with it is there by then
 ANSWER = 3  # items in an answer: the value, the figures on use, the load report
@@ -21,6 +27,35 @@
 IDLE_PART = 0.5  # of the time after which a server closes an idle connection; a request crossing that is lost
 
 
+class Ages:
+    """How long connections may have been idle: servers, and what stands before them, end them without a word.
+
+    Guards unsafe requests: on such a connection they end as resets, and can't be tried again.
+    """
+
+    def __init__(self) -> None:
+        self._uses, self._resets = [0.0] * AGES, [0.0] * AGES
+        self._tried = 0
+
+    @staticmethod
+    def _step(idle: float) -> int:
+        return min(AGES - 1, int(idle / AGE).bit_length())
+
+    def note(self, idle: float, reset: bool) -> None:
+        """A request was written after so many seconds, and reset before anything came, or not."""
+        step = self._step(idle)
+        self._uses[step] = self._uses[step] * AGE_FADE + 1.0
+        self._resets[step] = self._resets[step] * AGE_FADE + reset
+
+    def trusted(self, idle: float, safe: bool) -> bool:
+        """Whether a request, safe to repeat or not, may go on one that has been idle for so long."""
+        step = self._step(idle)
+        if self._resets[step] <= AGE_RESETS * (self._uses[step] + AGE_DOUBT):
+            return True
+        self._tried += safe
+        return safe and self._tried % AGE_TRIAL == 0
+
+
 class Connection(asyncio.Protocol):
     """A connection to a server. It carries one attempt at a time, so giving one up harms no other."""
 
@@ -33,6 +68,7 @@
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
         self.idle_since = 0.0
+        self.kept: float | None = None  # how long it had idled before its attempt, until that is answered
         self._dropped = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -73,6 +109,7 @@
         """An answer, or a part of one; anything else ends the connection."""
         attempt = self.attempt
         self.pool.silent = 0
+        self.note(False)
         answer: list[bytes | None] | bytes | None
         try:
             self._reader.feed(data)
@@ -91,6 +128,12 @@
         else:
             self.drop()
 
+    def note(self, reset: bool) -> None:
+        """What became of the first request after an idle time."""
+        if self.kept is not None:
+            self.pool.servers.ages.note(self.kept, reset)
+            self.kept = None
+
     def drop(self) -> None:
         """Close at once; what was to be written is not written later."""
         self._dropped = True
@@ -105,6 +148,7 @@
         self.pool.forget(self)
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
+            self.note(True)
             self.pool.servers.end(attempt, Result.CONNECT_FAILED if self._unwritten else Result.RESET)
 
 
@@ -119,14 +163,18 @@
         self.silent = 0  # attempts given up since anything came from it
         self.stop_at: int | None = None  # nothing new may be written from then on
 
-    def take(self) -> Connection | None:
+    def take(self, safe: bool) -> Connection | None:
         """An idle connection that an attempt can go on: the last used of those that have settled."""
-        settled = self.servers.loop.time() - SETTLE
+        now = self.servers.loop.time()
         for connection in reversed(self.idle):
-            if connection.idle_since > settled:
+            kept = now - connection.idle_since
+            if kept < SETTLE:
                 continue
+            if not self.servers.ages.trusted(kept, safe):
+                break  # those before it have been idle for longer
             self.idle.remove(connection)
             if connection.clean():
+                connection.kept = kept
                 return connection
             connection.drop()
         return None
@@ -163,6 +211,8 @@
         # How load reports begin in error lines; none where answers hold no reports.
         answers = not settings.report_by_probe
         self._reports = tuple(b"%b=" % name.encode() for name in settings.report_fields) if answers else ()
+        self.ages = Ages()
+        self._safe = [cls.effect is Effect.REPEATABLE for cls in settings.classes]
         self._pools: dict[str, Pool] = {}
         self._out: dict[Attempt, tuple[asyncio.TimerHandle, Connection | None]] = {}
         self._connects: dict[Attempt, asyncio.Task[None]] = {}
@@ -197,7 +247,7 @@
         pool = self._pools.get(attempt.server)
         if pool is None:
             self.end(attempt, Result.CONNECT_FAILED)
-        elif (connection := pool.take()) is not None:
+        elif (connection := pool.take(self._safe[attempt.call.cls])) is not None:
             self._write(attempt, connection, timeout)
         elif not self._room():
             self.end(attempt, Result.NOT_SENT)  # this gateway's own limit: it says nothing of the server
--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -336,8 +336,11 @@
         self._failed = 0
         others = 0.0
         if event.name == customer.window:
-            others = event.total - customer.total - amount - customer.lost
-            customer.own, customer.lost = customer.own + amount, 0.0
+            others = event.total - customer.total - amount
+            # Of the adds whose answers were lost this total can hold so much; the rest was not added.
+            shown = min(max(others, 0.0), customer.lost) if customer.lost > 0 else customer.lost
+            customer.owed += customer.lost - shown
+            customer.own, customer.lost, others = customer.own + amount, 0.0, others - shown
             if event.total < customer.own - 0.5:
                 # The count was lost: what this gateway remembers stays as the lower bound.
                 others, customer.own = 0.0, amount
@@ -386,6 +389,8 @@
         elif event.result is Result.OK:
             if event.elapsed <= CALL_SLOW * limit:
                 self._calling = min(1.0, self._calling + CALL_RAISE)
+        elif event.result not in (Result.TIMEOUT, Result.FULL):
+            pass  # a broken connection says nothing of the counter's load
         elif self._now - event.elapsed >= self._calling_cut:
             self._calling, self._calling_cut = max(CALL_LEAST, self._calling * CALL_CUT), self._now
 
--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -240,3 +240,37 @@
     driver.gateway._calling = 1.0  # which of the requests call is not the matter here
     driver.request(units=1.0)
     assert driver.calls[0].amount == 3.0
+
+
+def test_an_add_that_the_next_total_does_not_hold_is_owed() -> None:
+    # A connection may break before its calls are taken: they must not be lost from the count.
+    driver = Driver()
+    driver.request(units=2.0)
+    assert kinds(driver.counted(result=Result.RESET)) == ["Send"]
+    for total, amount in ((1.0, 1.0), (4.0, 3.0)):
+        driver.gateway._calling = 1.0  # which of the requests call is not the matter here
+        driver.request()
+        assert driver.calls[0].amount == amount
+        driver.counted(total)
+        driver.finish()
+
+
+def test_a_broken_connection_does_not_mean_that_the_counter_is_crowded() -> None:
+    # Fewer calls would let requests pass uncounted, and customers beyond their quotas.
+    driver = Driver()
+    for customer in range(8):
+        assert kinds(driver.request(customer=customer)) == ["Count"]
+        driver.counted(result=Result.RESET if customer % 2 else Result.OK)
+        driver.finish()
+
+
+def test_late_and_refused_calls_mean_that_it_is_crowded() -> None:
+    for result in (Result.TIMEOUT, Result.FULL):
+        driver = Driver()
+        for customer in range(40):
+            driver.request(customer=customer)
+            while driver.calls:
+                driver.counted(result=Result.OK if customer % 4 else result)
+            driver.wait(10 * MS)
+            driver.finish()
+        assert len([a for a in driver.actions if isinstance(a, Count)]) < 36
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -10,9 +10,9 @@
 import pytest
 
 from lynxreel.gateway import Attempt, Engine
-from lynxreel.servers import Servers
+from lynxreel.servers import Ages, Servers
 from mothgap.interface import Limits, Member, Result, State
-from tests.helpers import SETTINGS
+from tests.helpers import ONCE, REPEATABLE, SETTINGS
 from tests.net import LOCAL, Heard, Peer, resp, run
 
 OK = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$18\r\ninflight=7,queue=2\r\n"
@@ -23,16 +23,16 @@
 class Stub:
     """A call with a command of any size."""
 
-    def __init__(self, size: int = 10) -> None:
-        self.size = size
+    def __init__(self, size: int = 10, cls: int = REPEATABLE) -> None:
+        self.size, self.cls = size, cls
 
     def command(self, wait: int) -> bytes:
         return resp(b"CALL.GET", b"x" * self.size)
 
 
-def held(size: int) -> Any:
+def held(size: int, cls: int) -> Any:
     """A request with a command of any size, as far as an attempt needs one."""
-    return SimpleNamespace(call=Stub(size))
+    return SimpleNamespace(call=Stub(size, cls))
 
 
 @pytest.fixture(autouse=True)
@@ -55,9 +55,9 @@
         self.servers = Servers(cast(Engine, self.heard), settings, 60_000_000, most, loop)
         self.servers.update(at(port), True)
 
-    def send(self, timeout: int = LONG, size: int = 10) -> Attempt:
+    def send(self, timeout: int = LONG, size: int = 10, cls: int = REPEATABLE) -> Attempt:
         self.next += 1
-        attempt = Attempt(self.next, 0, "s-1", held(size), self.heard.clock.now())
+        attempt = Attempt(self.next, 0, "s-1", held(size, cls), self.heard.clock.now())
         self.servers.send(attempt, timeout)
         return attempt
 
@@ -462,3 +462,57 @@
         assert await bench.end() == (1, Result.NOT_SENT)
 
     run(scenario)
+
+
+def test_how_long_connections_may_idle_is_learnt_from_resets() -> None:
+    # Guards unsafe requests: what stands between may forget a connection long before the server closes it,
+    # and says so only to the next request.
+    ages = Ages()
+    for _ in range(20):
+        ages.note(0.01, False)
+        ages.note(0.3, True)
+    assert ages.trusted(0.01, safe=False)
+    assert not ages.trusted(0.3, safe=False)
+    tries = [ages.trusted(0.3, safe=True) for _ in range(80)]
+    assert tries.count(True) == 10  # so that it shows when they can be trusted again
+    for _ in range(40):
+        ages.note(0.3, False)
+    assert ages.trusted(0.3, safe=False)
+
+
+def test_one_reset_condemns_no_age() -> None:
+    ages = Ages()
+    ages.note(0.3, True)
+    assert ages.trusted(0.3, safe=False)
+
+
+def test_an_unsafe_request_takes_a_new_connection_where_kept_ones_were_reset() -> None:
+    async def scenario() -> None:
+        async with Peer() as peer:
+            bench = Bench(peer.port)
+            for _ in range(3):  # each connection is reset at its second request
+                bench.send()
+                writer = await heard(peer, OK)
+                await bench.end()
+                bench.send()
+                while not (again := await peer.hear())[1]:
+                    pass
+                assert again[0] is writer
+                writer.transport.abort()
+                assert (await bench.end())[1] is Result.RESET
+            bench.send()
+            writer = await heard(peer, OK)
+            await bench.end()
+            bench.send(cls=ONCE)
+            assert await heard(peer, OK) is not writer
+            assert (await bench.end())[1] is Result.OK
+
+    run(scenario)
+
+
+async def heard(peer: Peer, answer: bytes) -> asyncio.StreamWriter:
+    """Answer the next command."""
+    while not (came := await peer.hear())[1]:
+        pass
+    came[0].write(answer)
+    return came[0]
