Where many client connections have idled for 2 s, the oldest are closed

Ruled out with counts and prints in clients.py: calls turned away as unreadable (none), pauses in reading, lost data, the module (1,442 refusals of some 4,900). Cause in part: clients.py kept whatever had been answered until the room was full; some clients ask once and keep their connection for good. The protocol lets a gateway close it after 2 s.

--- a/lynxreel/clients.py
+++ b/lynxreel/clients.py
@@ -7,6 +7,7 @@
 import re
 from collections import deque
 from dataclasses import dataclass
+from itertools import islice
 from typing import cast
 
 from lynxreel import resp
@@ -24,6 +25,8 @@
 PAUSE = 0.05  # seconds without reading after a command that is no call: repeats must not take the others' CPU
 PATIENCE = 2.0  # seconds for a first command, for the rest of one, and for reading the answers
 SWEEP = 0.25  # seconds between looks for connections that have used that up
+IDLE_LEAST = 2.0  # seconds that one stays open after its last answer
+IDLE_PART = 0.25  # of the connections; of more that have idled for so long, the oldest are closed
 NEW_PART = 0.25  # of the connections; more that have said nothing make room among themselves
 CUSTOMER = re.compile(rb"[0-9a-f]{16}")
 ID = re.compile(rb"[0-9A-Za-z._:-]{1,64}")
@@ -280,7 +283,7 @@
         self.engine, self.terms, self.loop = engine, terms, loop
         self.connections: set[Connection] = set()
         self.waiting: dict[Connection, float] = {}  # who owes a command, or to read answers; since when
-        self.idle: dict[Connection, None] = {}  # who has been answered; the one idle for longest is first
+        self.idle: dict[Connection, float] = {}  # who has been answered, and when; the oldest first
         self._most = most
         self._server: asyncio.Server
         self.port = 0
@@ -318,7 +321,7 @@
         """All is answered on it."""
         self.idle.pop(connection, None)
         if connection in self.connections and connection not in self.waiting:
-            self.idle[connection] = None
+            self.idle[connection] = self.loop.time()
 
     def forget(self, connection: Connection) -> None:
         """It is closed."""
@@ -327,13 +330,23 @@
         self.idle.pop(connection, None)
 
     def sweep(self) -> None:
-        """End the connections whose time for what they owe is up."""
+        """End the connections whose time for what they owe is up, and those that have idled long, if many.
+
+        Some clients ask once and keep their connection for good: the others must find room before it is full.
+        """
         late = self.loop.time() - PATIENCE
         for connection, since in list(self.waiting.items()):
             if since > late:
                 break
             del self.waiting[connection]
             connection.overdue()
+        late = self.loop.time() - IDLE_LEAST
+        most = len(self.idle) - int(self._most * IDLE_PART)
+        for connection, since in list(islice(self.idle.items(), max(0, most))):
+            if since > late:
+                break
+            del self.idle[connection]
+            connection.end()
         self.loop.call_later(SWEEP, self.sweep)
 
     async def stop(self, accept: float, most: float) -> None:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -356,3 +356,22 @@
             await asyncio.sleep(0)
 
     play(scenario)
+
+
+def test_of_many_that_have_idled_long_the_oldest_are_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards the room of clients that have more to ask: some ask once and keep their connection for good.
+    monkeypatch.setattr("lynxreel.clients.IDLE_LEAST", 0.0)
+    monkeypatch.setattr("lynxreel.clients.SWEEP", 0.01)
+
+    async def scenario(heard: Heard, clients: Clients, connect: Callable[[], Awaitable[Ends]]) -> None:
+        ends = [await connect() for _ in range(4)]
+        for reader, writer in ends:
+            writer.write(PING)
+            assert await reader.readline() == PONG
+        for reader, _ in ends[:2]:
+            assert await reader.read() == b""
+        for reader, writer in ends[2:]:  # a quarter of the room
+            writer.write(PING)
+            assert await reader.readline() == PONG
+
+    play(scenario)
