--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -574,7 +574,7 @@
                 timeout = min(timeout, max(self._s.tick, int(until_aim * FIRST_SPLIT)))
         if job.attempts == 0:
             job.customer.ceiling -= job.request.units
-            job.customer.open += 1
+        job.customer.open += not job.live
         self._out.append(Send(job.request.id, server.line.server, timeout))
         self._accrue()
         self._live += 1
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -282,3 +282,15 @@
         driver.wait(2 * SECOND)
     assert kinds(driver.actions).count("Send") > 20
     assert len(driver.gateway._servers["10.0.0.1:80"].ghosts) <= 6
+
+
+def test_a_request_that_is_sent_again_is_open_once() -> None:
+    # Guards plans that cap what is out, and memory: the count must come back to nothing, and not before.
+    driver = Driver()
+    first, second = driver.admitted(), driver.admitted()
+    driver.outcome(first.request, Result.ERROR)
+    assert driver.gateway._customers[CUSTOMER].open == 2
+    driver.outcome(first.request)
+    assert driver.gateway._customers[CUSTOMER].open == 1
+    driver.outcome(second.request)
+    assert driver.gateway._customers[CUSTOMER].open == 0
