Uncounted passes stand for the others' use, late totals are learnt, and a refusal ends when the units fit again

Ruled out: totals of windows gone (7 of 2,804), the `hot` path (44 refusals), crossing windows as the main part.

The mend: what passes without a call stands for the others' use as well, in the proportion that totals have told of this customer, and the next total replaces that guess; calls go to customers by the square of how near they are to their burst; a customer is refused without a call only while its units don't fit; and a total that comes late is told to the module (CountedLate), so that lost adds are those of broken connections only.

Tests: a late total over a loopback socket, uncounted passes, the end of a refusal and whom a crowded counter is called for fail without the mend.

--- a/lynxreel/counter.py
+++ b/lynxreel/counter.py
@@ -9,7 +9,7 @@
 from contextlib import suppress
 from typing import cast
 
-from mothgap.interface import Counted, Result
+from mothgap.interface import Counted, CountedLate, Result
 
 CONNECTIONS = 2
 RETRY = 0.05  # seconds before a second try to connect in a row; doubled up to MOST_RETRY
@@ -23,10 +23,10 @@
 class _Call:
     """One call; it keeps its place in the line when it has timed out. A ping has no name."""
 
-    __slots__ = ("at", "name", "over", "text", "timer")
+    __slots__ = ("amount", "at", "name", "over", "text", "timer")
 
-    def __init__(self, name: int | None, text: bytes, at: float) -> None:
-        self.name, self.text, self.at = name, text, at
+    def __init__(self, name: int | None, amount: float, text: bytes, at: float) -> None:
+        self.name, self.amount, self.text, self.at = name, amount, text, at
         self.over = name is None
         self.timer: asyncio.TimerHandle | None = None
 
@@ -109,7 +109,7 @@
         self,
         address: tuple[str, int],
         time_limit: int,
-        post: Callable[[Counted], None],
+        post: Callable[[Counted | CountedLate], None],
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         self.loop = loop
@@ -119,9 +119,12 @@
         self._tasks = [loop.create_task(self._keep(number)) for number in range(CONNECTIONS)]
 
     def add(self, name: int, amount: float, lifetime: int) -> None:
-        """One call; one `Counted` follows. A name with calls out keeps to its connection, and their order."""
+        """One call; one `Counted` follows, and `CountedLate` where its total comes after that.
+
+        A name with calls out keeps to its connection, and their order.
+        """
         life = max(1, math.ceil(lifetime / 1_000))
-        call = _Call(name, b"bump %x %.6f %d\r\n" % (name, amount, life), self.loop.time())
+        call = _Call(name, amount, b"bump %x %.6f %d\r\n" % (name, amount, life), self.loop.time())
         line = self.line_of(name)
         if line is None:
             self.end(call, Result.CONNECT_FAILED)
@@ -157,6 +160,8 @@
             except ValueError:
                 total = math.nan
             if math.isfinite(total):
+                if call.over:
+                    self._post(CountedLate(call.name, call.amount, total))
                 self.end(call, Result.OK, total)
                 return True
         elif word in (b"busy", b"error"):
@@ -208,7 +213,7 @@
             if line.written and now - line.written[0].at > DEAD_AFTER:
                 line.drop()
             elif not line.written and now - line.heard > PING_AFTER and line.usable():
-                line.write(_Call(None, b"ping\r\n", now))
+                line.write(_Call(None, 0.0, b"ping\r\n", now))
 
     def close(self) -> None:
         """The end of the process."""
--- a/mothgap/interface.py
+++ b/mothgap/interface.py
@@ -207,6 +207,15 @@
     total: float
 
 
+@dataclass(frozen=True, slots=True)
+class CountedLate:
+    """The total of a Count that was told as TIMEOUT before. It may never come."""
+
+    name: int
+    amount: float
+    total: float
+
+
 @dataclass(frozen=True, slots=True)
 class Expired:
     """The client has left; nothing is owed for this request any more."""
@@ -262,7 +271,7 @@
 
 
 Event: TypeAlias = (
-    Request | Outcome | Started | Counted | Expired | Members | Probed | PeerMessage | Timer
+    Request | Outcome | Started | Counted | CountedLate | Expired | Members | Probed | PeerMessage | Timer
 )
 
 
--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -19,8 +19,9 @@
 from itertools import islice
 
 from mothgap.interface import (
-    Action, Cancel, Count, Counted, Effect, Event, Expired, Fail, Group, ListKind, Member, Members, Outcome,
-    Plan, Refuse, Request, RequestClass, Result, Send, SetTimer, Settings, State, Timer, Watch,
+    Action, Cancel, Count, Counted, CountedLate, Effect, Event, Expired, Fail, Group, ListKind, Member,
+    Members, Outcome, Plan, Refuse, Request, RequestClass, Result, Send, SetTimer, Settings, State, Timer,
+    Watch,
 )  # fmt: skip
 
 SECOND = 1_000_000  # microseconds
@@ -33,7 +34,8 @@
 CALL_SLOW = 0.5  # of the counter's time limit; after slower answers the share of calls does not grow
 TRY_MATCH = 0.01  # of a class's deadline; how near to the usual patience a first try's time left is
 CALL_LEAST = 0.1  # of the requests that call at the least, so that a counter with room again is noticed soon
-CALL_NEED = 0.5  # of that share; what a customer far from its burst gets, against one that is half way there
+CALL_HALF = 0.5  # of the burst taken; there a customer gets that share, with the square of it below and above
+OTHERS_DOUBT = 2.0  # own units seen in totals at which they tell as much of the others' part as an even split
 LOOK_WINDOWS = 8.0  # windows after which what totals said of a customer has faded: long spells last longer
 HOT_CALLS = 2.0  # calls for a customer beyond its quota, for each that is likely to find room
 SMOOTH = 0.2  # share of a new reading in a running mean: about the last ten readings count
@@ -65,19 +67,25 @@
 class _Customer:
     """What this gateway knows of one customer's use. `debt` is units taken and not yet refilled, over all."""
 
-    __slots__ = ("at", "ceiling", "closed", "debt", "limit_at", "looks", "lost", "open", "over", "own",
-                 "owed", "total", "window")
+    __slots__ = ("at", "ceiling", "debt", "guess", "limit_at", "looks", "lost", "open", "over", "own", "owed",
+                 "seen_others", "seen_own", "total", "window")
 
     def __init__(self, now: int) -> None:
         self.debt, self.at = 0.0, now
         self.window, self.total, self.own = -1, 0.0, 0.0  # window number, last total in it, own adds in it
         self.looks, self.over = 0.0, 0.0  # decisions by total, and refusals among them, fading
-        self.closed = -1  # number of a window in which it is refused without a call
+        self.guess = 0.0  # part of `debt` that stands for others until the next total
+        self.seen_own, self.seen_others = 0.0, 0.0  # units that totals held, by whom, fading
         self.lost = 0.0  # adds in the window whose answer never came: the next total holds them
         self.owed = 0.0  # units that passed without a call: to be added with the next one
         self.ceiling, self.limit_at = 0.0, now
         self.open = 0
 
+    def others(self, spread: int) -> float:
+        """Units that others let through for each one here: as totals told, else as much at each gateway."""
+        told = max(0.0, self.seen_others) + OTHERS_DOUBT * (spread - 1)
+        return told / (max(0.0, self.seen_own) + OTHERS_DOUBT)
+
 
 class _Limit:
     """How many attempts this gateway may have at a server; a fraction of one in large fleets."""
@@ -203,6 +211,8 @@
                 self._on_outcome(event)
             case Counted():
                 self._on_counted(event)
+            case CountedLate():
+                self._on_late(event)
             case Timer():
                 self._on_timer(event)
             case Members():
@@ -230,7 +240,7 @@
             self._try(job)
         elif self._s.counter is None:
             self._decide_alone(job, plan)
-        elif customer.debt > plan.burst or customer.closed == self._window(request.customer, plan)[0]:
+        elif customer.debt - customer.guess + (request.units if self._calling < 1.0 else 0.0) > plan.burst:
             # Known to have no room: its add would only be taken back, and repeats would swamp the counter.
             self._end(job)
         elif self._failed >= BREAKER_TRIP:
@@ -245,7 +255,7 @@
                 share *= min(1.0, HOT_CALLS * (1.0 - doubt))
             elif share < 1.0 and self._pooled is None:
                 # The nearer to the burst, the more a total tells; what is far from it is owed meanwhile.
-                share *= max(CALL_NEED, 2.0 * (customer.debt + request.units) / plan.burst)
+                share *= ((customer.debt + request.units) / plan.burst / CALL_HALF) ** 2
             if self._random.random() < share:
                 # In a large fleet a customer may not come here again: this stands for those that pass.
                 job.added = request.units if hot or self._pooled is None else request.units / share
@@ -309,12 +319,18 @@
         length = max(SECOND, min(NAME_LIFE // 2, int(plan.burst / plan.rate * SECOND)))
         return (self._now + customer_id * 7919 % length) // length, length
 
-    def _count(self, job: _Job, plan: Plan, waiting: int | None, units: float) -> None:
-        """Add to the customer's count of this window; `waiting` is the request that hangs on the total."""
+    def _enter_window(self, job: _Job, plan: Plan) -> tuple[int, int]:
+        """The name of the customer's count now, and its window's length; a new window starts from nothing."""
         number, length = self._window(job.request.customer, plan)
         name = (job.request.customer << 24 | number & 0xFFFFFF) & 0xFFFFFFFFFFFFFFFF
         if job.customer.window != name:
             job.customer.window, job.customer.total, job.customer.own, job.customer.lost = name, 0.0, 0.0, 0.0
+            job.customer.guess = 0.0  # it stays debt: totals of this window tell nothing of the time before
+        return name, length
+
+    def _count(self, job: _Job, plan: Plan, waiting: int | None, units: float) -> None:
+        """Add to the customer's count of this window; `waiting` is the request that hangs on the total."""
+        name, length = self._enter_window(job, plan)
         # What has been refilled since is owed no more.
         units, job.customer.owed = units + min(job.customer.owed, job.customer.debt), 0.0
         self._asked.setdefault(name, []).append(waiting)
@@ -334,17 +350,7 @@
                 self._decide_alone(job, self._s.plans[job.request.plan])
             return
         self._failed = 0
-        others = 0.0
-        if event.name == customer.window:
-            others = event.total - customer.total - amount
-            # Of the adds whose answers were lost this total can hold so much; the rest was not added.
-            shown = min(max(others, 0.0), customer.lost) if customer.lost > 0 else customer.lost
-            customer.owed += customer.lost - shown
-            customer.own, customer.lost, others = customer.own + amount, 0.0, others - shown
-            if event.total < customer.own - 0.5:
-                # The count was lost: what this gateway remembers stays as the lower bound.
-                others, customer.own = 0.0, amount
-            customer.total = event.total
+        others = self._take_total(customer, event.name, amount, event.total)
         if job is None or not job.held:
             customer.debt = max(0.0, customer.debt + others)
             return
@@ -359,10 +365,41 @@
             customer.debt += job.request.units
             self._try(job)
         else:
-            if over and self._calling < 1.0:
-                customer.closed = self._window(job.request.customer, plan)[0]
             self._end(job)
 
+    def _take_total(self, customer: _Customer, name: int, amount: float, total: float) -> float:
+        """What a total tells of the others' use, beyond what has been guessed of it."""
+        if name != customer.window:
+            return 0.0
+        others = total - customer.total - amount
+        # Of the adds whose answers were lost this total can hold so much; the rest was not added.
+        shown = min(max(others, 0.0), customer.lost) if customer.lost > 0 else customer.lost
+        customer.owed += customer.lost - shown
+        customer.own, customer.lost, others = customer.own + amount, 0.0, others - shown
+        customer.total = total
+        if total < customer.own - 0.5:
+            # The count was lost: what this gateway remembers stays as the lower bound.
+            customer.own = amount
+            return 0.0
+        customer.seen_own += amount + shown - SMOOTH * customer.seen_own
+        customer.seen_others += others - SMOOTH * customer.seen_others
+        guess, customer.guess = customer.guess, 0.0
+        return others - guess
+
+    def _on_late(self, event: CountedLate) -> None:
+        """The total of a call that had ended without one: nobody waits for it, but it is as true as any.
+
+        Guards against adds of this gateway that pass for others' use, or are owed though they were made, and
+        against a view that grows old where most calls are late. Harmless where a total comes out of order:
+        the next one puts it right.
+        """
+        customer = self._customers.get(event.name >> 24)
+        if customer is not None and event.name == customer.window:
+            customer.lost -= event.amount
+            customer.own -= min(0.0, event.amount)  # it was taken off when the call ended
+            others = self._take_total(customer, event.name, event.amount, event.total)
+            customer.debt = max(0.0, customer.debt + others)
+
     def _count_failed(self, event: Counted, customer: _Customer, amount: float) -> None:
         """No total. What was not added is owed; what may have been is this gateway's own in the next total.
 
@@ -408,16 +445,23 @@
             job.customer.owed += units
 
     def _decide_alone(self, job: _Job, plan: Plan) -> None:
-        """Exception: no total to be had. After a lost answer, the totals before it decide.
+        """Exception: no total to be had. What this gateway lets through stands for what others do meanwhile.
 
-        While the counter is away, own use, times the gateways that share the customer, stands for all.
+        As much at each gateway while the counter is away, else as much as totals told of them, where no call
+        of its own is out. The next total replaces that guess. It guards a quota against as many bursts as
+        gateways share it, and refuses too much where a customer comes here more than it used to.
         """
-        customer, cost = job.customer, job.request.units
+        customer, cost, others = job.customer, job.request.units, 0.0
         if self._failed >= BREAKER_TRIP or self._s.counter is None:
-            cost *= max(1, job.request.entry_points)
+            others = cost * (max(1, job.request.entry_points) - 1)
+        elif self._pooled is None and not job.added:
+            others = cost * customer.others(max(1, job.request.entry_points))
+        cost += others
         # One request may cost more than the burst where many gateways share it: it waits for an empty debt.
         if customer.debt + cost <= max(plan.burst, cost) and self._may_pass(job, plan):
+            self._enter_window(job, plan)
             customer.debt += cost
+            customer.guess += others
             if not job.added and self._pooled is None and self._failed < BREAKER_TRIP:
                 customer.owed, job.added = customer.owed + job.request.units, job.request.units
             self._try(job)
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -7,18 +7,33 @@
 
 from lynxreel import counter as module
 from lynxreel.counter import Counter
-from mothgap.interface import Counted, Result
+from mothgap.interface import Count, Counted, CountedLate, Result
+from tests.helpers import Driver, kinds
 from tests.net import LOCAL, Peer, run
 
 LIMIT = 50_000  # microseconds
 LONG = 10_000_000
 
 
-def play(scenario: Callable[[Counter, Peer, "asyncio.Queue[Counted]"], Awaitable[None]], limit: int) -> None:
+class Told(asyncio.Queue[Counted]):
+    """What the counter tells; totals that came late apart."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.late: asyncio.Queue[CountedLate] = asyncio.Queue()
+
+    def take(self, event: Counted | CountedLate) -> None:
+        if isinstance(event, CountedLate):
+            self.late.put_nowait(event)
+        else:
+            self.put_nowait(event)
+
+
+def play(scenario: Callable[[Counter, Peer, Told], Awaitable[None]], limit: int) -> None:
     async def start() -> None:
-        told: asyncio.Queue[Counted] = asyncio.Queue()
+        told = Told()
         async with Peer() as peer:
-            counter = Counter((LOCAL, peer.port), limit, told.put_nowait, asyncio.get_running_loop())
+            counter = Counter((LOCAL, peer.port), limit, told.take, asyncio.get_running_loop())
             await up(counter)
             await scenario(counter, peer, told)
             counter.close()
@@ -45,7 +60,7 @@
     ],
 )
 def test_each_answer_has_its_result(reply: bytes, result: Result, total: float) -> None:
-    async def scenario(counter: Counter, peer: Peer, told: "asyncio.Queue[Counted]") -> None:
+    async def scenario(counter: Counter, peer: Peer, told: Told) -> None:
         counter.add(0xABC, -2.5, 4_000_001)
         assert await peer.answer(reply) == b"bump abc -2.500000 4001\r\n"
         counted = await told.get()
@@ -55,7 +70,7 @@
 
 
 def test_a_name_keeps_to_one_connection_and_answers_go_to_their_calls_in_order() -> None:
-    async def scenario(counter: Counter, peer: Peer, told: "asyncio.Queue[Counted]") -> None:
+    async def scenario(counter: Counter, peer: Peer, told: Told) -> None:
         for amount in (1.0, 2.0, 3.0):
             counter.add(8, amount, 1_000_000)
         writer, data = await peer.hear()
@@ -68,8 +83,8 @@
     play(scenario, LONG)
 
 
-def test_a_late_answer_is_taken_in_its_place_and_dropped() -> None:
-    async def scenario(counter: Counter, peer: Peer, told: "asyncio.Queue[Counted]") -> None:
+def test_a_late_answer_is_taken_in_its_place_and_told_as_late() -> None:
+    async def scenario(counter: Counter, peer: Peer, told: Told) -> None:
         counter.add(8, 1.0, 1_000_000)
         writer, _ = await peer.hear()
         assert (await told.get()).result is Result.TIMEOUT
@@ -79,12 +94,30 @@
         counted = await told.get()
         assert (counted.result, counted.total) == (Result.OK, 3.0)
         assert told.empty()
+        assert told.late.get_nowait() == CountedLate(8, 1.0, 1.0)
+        assert told.late.empty()
+
+    play(scenario, LIMIT)
+
+
+def test_a_late_total_tells_the_module_that_a_customer_has_no_room() -> None:
+    # Guards the quotas where most calls are late: what others took would stay unseen.
+    async def scenario(counter: Counter, peer: Peer, told: Told) -> None:
+        driver = Driver()
+        (call,) = driver.request()
+        assert isinstance(call, Count)
+        counter.add(call.name, call.amount, call.lifetime)
+        writer, _ = await peer.hear()
+        assert kinds(driver.feed(await told.get())) == ["Send"]  # in time, without its total
+        writer.write(b"ok 9\r\n")  # others took 8 of 8
+        driver.feed(await told.late.get())
+        assert kinds(driver.request()) == ["Refuse"]
 
     play(scenario, LIMIT)
 
 
 def test_a_break_after_the_call_is_unknown_and_without_a_connection_nothing_is_added() -> None:
-    async def scenario(counter: Counter, peer: Peer, told: "asyncio.Queue[Counted]") -> None:
+    async def scenario(counter: Counter, peer: Peer, told: Told) -> None:
         counter.add(8, 1.0, 1_000_000)
         await peer.hear()
         for writer in peer.writers:
@@ -108,7 +141,7 @@
     monkeypatch.setattr(module, "PING_AFTER", 0.0)
     monkeypatch.setattr(module, "TEND", 0.01)
 
-    async def scenario(counter: Counter, peer: Peer, told: "asyncio.Queue[Counted]") -> None:
+    async def scenario(counter: Counter, peer: Peer, told: Told) -> None:
         writer, data = await peer.hear()
         assert data == b"ping\r\n"
         name = next(n for n in range(9) if counter.line_of(n) is counter.line_of(0))
@@ -123,7 +156,7 @@
     monkeypatch.setattr(module, "DEAD_AFTER", 0.0)
     monkeypatch.setattr(module, "TEND", 0.01)
 
-    async def scenario(counter: Counter, peer: Peer, told: "asyncio.Queue[Counted]") -> None:
+    async def scenario(counter: Counter, peer: Peer, told: Told) -> None:
         counter.add(8, 1.0, 1_000_000)
         assert (await peer.hear())[1] != b""
         assert (await peer.hear())[1] == b""
@@ -134,7 +167,7 @@
 
 def test_a_call_on_a_connection_that_is_closing_adds_nothing() -> None:
     # Guards against a write that the transport drops because the other end's close is still to be told.
-    async def scenario(counter: Counter, peer: Peer, told: "asyncio.Queue[Counted]") -> None:
+    async def scenario(counter: Counter, peer: Peer, told: Told) -> None:
         while (line := counter.line_of(8)) is not None:
             assert line.transport is not None
             line.transport.close()
@@ -146,7 +179,7 @@
 
 def test_a_spoilt_answer_costs_one_connection_and_its_names_go_on_on_the_other() -> None:
     # Guards the quotas: what is not counted is let through on trust.
-    async def scenario(counter: Counter, peer: Peer, told: "asyncio.Queue[Counted]") -> None:
+    async def scenario(counter: Counter, peer: Peer, told: Told) -> None:
         counter.add(8, 1.0, 1_000_000)
         first, _ = await peer.hear()
         first.write(b"what\r\n")
@@ -168,7 +201,7 @@
 def test_a_connection_that_had_answered_is_replaced_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(module, "RETRY", 60.0)
 
-    async def scenario(counter: Counter, peer: Peer, told: "asyncio.Queue[Counted]") -> None:
+    async def scenario(counter: Counter, peer: Peer, told: Told) -> None:
         counter.add(8, 1.0, 1_000_000)
         first, _ = await peer.hear()
         first.write(b"ok 1\r\nwhat\r\n")
@@ -181,7 +214,7 @@
 
 
 def test_a_move_leaves_calls_to_end_where_they_are_and_new_ones_go_to_the_new_address() -> None:
-    async def scenario(counter: Counter, peer: Peer, told: "asyncio.Queue[Counted]") -> None:
+    async def scenario(counter: Counter, peer: Peer, told: Told) -> None:
         counter.add(8, 1.0, 1_000_000)
         writer, _ = await peer.hear()
         async with Peer() as other:
--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -255,6 +255,71 @@
         driver.finish()
 
 
+def test_what_passes_uncounted_stands_for_others_as_much_as_totals_told() -> None:
+    # Two gateways that each let a burst through between two totals are two bursts for the customer.
+    passed = []
+    for others in (0.0, 1.0):
+        driver = Driver()
+        totals: dict[int, float] = {}
+        for _ in range(12):  # this gateway takes half of the quota, others nothing or the same
+            driver.request(entry_points=2)
+            name = driver.calls[0].name
+            totals[name] = totals.get(name, 0.0) + 1.0 + others
+            driver.counted(totals[name])
+            driver.finish()
+            driver.wait(1 * SECOND)
+        driver.wait(8 * SECOND)
+        driver.gateway._calling = 1e-9  # next to no call
+        before = kinds(driver.actions).count("Send")
+        for _ in range(12):
+            driver.request(entry_points=2)
+            driver.finish()
+        passed.append(kinds(driver.actions).count("Send") - before)
+    assert passed[0] > passed[1]
+    assert 3 <= passed[1] <= 5  # half of the burst of 8
+    assert passed[0] <= 8
+
+
+def test_a_total_takes_the_place_of_what_was_guessed_of_others() -> None:
+    driver = Driver()
+    driver.gateway._calling = 1e-9
+    assert kinds(driver.request(entry_points=4)) == ["Send"]  # stands for 4 units
+    driver.gateway._calling = 1.0
+    for units in (4.0, 3.0):  # the whole burst: others took nothing
+        driver.request(units=units, entry_points=4)
+        assert kinds(driver.counted(8.0 if units == 3.0 else 5.0)) == ["Send"]
+
+
+def test_a_refusal_at_a_crowded_counter_ends_when_the_units_fit_again() -> None:
+    # A refusal for the rest of a window held out customers whose burst was half unused by then.
+    driver = Driver()
+    driver.request()
+    driver.counted(8.0)
+    driver.gateway._calling = 0.5
+    assert kinds(driver.request()) == ["Refuse"]  # without a call: nothing has been refilled yet
+    driver.wait(SECOND // 2)  # one unit
+    assert kinds(driver.request()) == ["Count"]
+
+
+def test_a_crowded_counter_is_called_for_those_that_are_near_their_burst() -> None:
+    calls = {0.0: 0, 6.0: 0}
+    for units in calls:  # what each customer has taken, of 8
+        driver = Driver()
+        for customer in range(40):
+            if units:
+                driver.request(customer=customer, units=units)
+                driver.counted(units)
+            driver.gateway._calling = 0.5
+            before = len(driver.calls)
+            driver.request(customer=customer)
+            calls[units] += len(driver.calls) - before
+            while driver.calls:
+                driver.counted(units + 1.0)
+            driver.finish()
+    assert calls[6.0] == 40
+    assert calls[0.0] < 10
+
+
 def test_a_broken_connection_does_not_mean_that_the_counter_is_crowded() -> None:
     # Fewer calls would let requests pass uncounted, and customers beyond their quotas.
     driver = Driver()
