Debt is held to the burst, room is kept for what others owe, and a quota at its edge for the dearer class

Its debt stood at 20 of 21 at one gateway, 14 and 9 at others, while 2 to 4 were used: totals tell increments, and it asked for all that is refilled, so what had been added to the debt once never left it. Cause: what goes beyond a quota takes nothing from it, but was debt (`_on_counted`).

--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -35,6 +35,8 @@
 TRY_MATCH = 0.01  # of a class's deadline; how near to the usual patience a first try's time left is
 CALL_LEAST = 0.1  # of the requests that call at the least, so that a counter with room again is noticed soon
 CALL_HALF = 0.5  # of the burst taken; there a customer gets that share, with the square of it below and above
+EDGE_MOST = 0.5  # of the burst that is kept free for what other gateways have not told yet
+SHORT_WINDOWS = 2.0  # windows after a want of room in which cheaper classes leave some for dearer ones
 OTHERS_DOUBT = 2.0  # own units seen in totals at which they tell as much of the others' part as an even split
 LOOK_WINDOWS = 8.0  # windows after which what totals said of a customer has faded: long spells last longer
 HOT_CALLS = 2.0  # calls for a customer beyond its quota, for each that is likely to find room
@@ -67,23 +69,47 @@
 class _Customer:
     """What this gateway knows of one customer's use. `debt` is units taken and not yet refilled, over all."""
 
-    __slots__ = ("at", "ceiling", "debt", "guess", "limit_at", "looks", "lost", "open", "over", "own", "owed",
-                 "seen_others", "seen_own", "total", "window")
+    __slots__ = ("at", "backlog", "burst", "ceiling", "debt", "excess", "guess", "limit_at", "looks", "lost",
+                 "open", "over", "own", "owed", "seen_others", "seen_own", "short_at", "total",
+                 "window")
 
-    def __init__(self, now: int) -> None:
-        self.debt, self.at = 0.0, now
+    def __init__(self, burst: float, now: int) -> None:
+        self.burst, self.debt, self.at = burst, 0.0, now
         self.window, self.total, self.own = -1, 0.0, 0.0  # window number, last total in it, own adds in it
         self.looks, self.over = 0.0, 0.0  # decisions by total, and refusals among them, fading
+        self.excess = 0.0  # units in the window's totals that found no room in the burst
         self.guess = 0.0  # part of `debt` that stands for others until the next total
         self.seen_own, self.seen_others = 0.0, 0.0  # units that totals held, by whom, fading
         self.lost = 0.0  # adds in the window whose answer never came: the next total holds them
         self.owed = 0.0  # units that passed without a call: to be added with the next one
+        self.backlog = 0.0  # running mean of what was owed when calls were made
         self.ceiling, self.limit_at = 0.0, now
+        self.short_at = now - NAME_LIFE  # when it was last found to have no room
         self.open = 0
 
+    def take(self, units: float) -> None:
+        """The use of others, or what they have taken back: first of what was on top of the burst.
+
+        What goes beyond a quota takes nothing from it. Guards against a debt that stays too high for as long
+        as the customer asks for all that is refilled; lets through too much where takebacks are lost.
+        """
+        back = min(self.excess, max(0.0, -units))
+        debt = max(0.0, self.debt + units + back)
+        self.debt = min(debt, self.burst)
+        self.excess += debt - self.debt - back
+
+    def fits(self, units: float, spread: int, keep: float, sure: float = 0.0) -> bool:
+        """There is room, but for `sure` units of the debt, beside what other gateways owe the counter.
+
+        They are taken to owe as this one does. Guards a quota at its edge, where one unit of it unseen is one
+        too many; a customer that is always there loses nothing, one that comes in bursts a part of each.
+        """
+        edge = min(EDGE_MOST * self.burst, self.backlog * self.others(spread) + keep)
+        return self.debt - sure + units + edge <= max(self.burst, units + edge)
+
     def others(self, spread: int) -> float:
         """Units that others let through for each one here: as totals told, else as much at each gateway."""
-        told = max(0.0, self.seen_others) + OTHERS_DOUBT * (spread - 1)
+        told = max(0.0, self.seen_others) + OTHERS_DOUBT * max(0, spread - 1)
         return told / (max(0.0, self.seen_own) + OTHERS_DOUBT)
 
 
@@ -195,6 +221,7 @@
         self._over = [0.0 for _ in settings.plans]  # part of the decisions by total that were refusals
         self._calling, self._calling_cut = 1.0, now  # share of the requests that call; when it was last cut
         self._retries = RETRY_SAVED
+        self._dearest = max(cls.worth for cls in settings.classes)
         self._longest = max(cls.aim for cls in settings.classes)
         self._credit = float(self._longest)
         self._tokens: dict[int, tuple[int, int | None]] = {}  # timers: request, and attempt; None: its total
@@ -240,7 +267,7 @@
             self._try(job)
         elif self._s.counter is None:
             self._decide_alone(job, plan)
-        elif customer.debt - customer.guess + (request.units if self._calling < 1.0 else 0.0) > plan.burst:
+        elif not self._within(job, plan, request.units, customer.guess):
             # Known to have no room: its add would only be taken back, and repeats would swamp the counter.
             self._end(job)
         elif self._failed >= BREAKER_TRIP:
@@ -267,6 +294,20 @@
             else:
                 self._decide_alone(job, plan)
 
+    def _within(self, job: _Job, plan: Plan, units: float, sure: float = 0.0) -> bool:
+        """There is room for the units, and for a dearer request where the customer went short of late.
+
+        Guards against a quota that goes at its edge to whatever is small enough: what needs more room at once
+        would never find it. Harms the cheaper class of a customer that asks for more than its quota.
+        """
+        customer = job.customer
+        short = self._now - customer.short_at < SHORT_WINDOWS * plan.burst / plan.rate * SECOND
+        keep = (1.0 - job.cls.worth / self._dearest) * self._s.units_top if short else 0.0
+        fits = customer.fits(units, job.request.entry_points, keep, sure)
+        if not fits:
+            customer.short_at = self._now
+        return fits
+
     def _spent(self, request: Request, cls: RequestClass) -> int:
         """Time since the client's first try, where that shows and either counter or servers are crowded.
 
@@ -285,7 +326,7 @@
         """The customer's state, moved on to now. Customers long unheard of are dropped."""
         customer = self._customers.get(request.customer)
         if customer is None:
-            customer = self._customers[request.customer] = _Customer(self._now)
+            customer = self._customers[request.customer] = _Customer(plan.burst, self._now)
             # The ceiling's share starts empty at boot, so that no restart refills it.
             customer.limit_at = self._born
         self._customers.move_to_end(request.customer)
@@ -325,7 +366,7 @@
         name = (job.request.customer << 24 | number & 0xFFFFFF) & 0xFFFFFFFFFFFFFFFF
         if job.customer.window != name:
             job.customer.window, job.customer.total, job.customer.own, job.customer.lost = name, 0.0, 0.0, 0.0
-            job.customer.guess = 0.0  # it stays debt: totals of this window tell nothing of the time before
+            job.customer.guess, job.customer.excess = 0.0, 0.0  # totals tell nothing of the time before
         return name, length
 
     def _count(self, job: _Job, plan: Plan, waiting: int | None, units: float) -> None:
@@ -352,12 +393,14 @@
         self._failed = 0
         others = self._take_total(customer, event.name, amount, event.total)
         if job is None or not job.held:
-            customer.debt = max(0.0, customer.debt + others)
+            customer.take(others)
             return
         plan = self._s.plans[job.request.plan]
-        customer.debt = max(0.0, customer.debt - plan.rate * (self._now - customer.at) / SECOND + others)
+        customer.debt = max(0.0, customer.debt - plan.rate * (self._now - customer.at) / SECOND)
         customer.at = self._now
-        over = customer.debt + job.request.units > plan.burst
+        customer.take(others)
+        customer.backlog += SMOOTH * (max(0.0, amount - job.added) - customer.backlog)
+        over = not self._within(job, plan, job.request.units)
         customer.looks += 1.0
         customer.over += over
         self._over[job.request.plan] += PACE_SMOOTH * (over - self._over[job.request.plan])
@@ -398,7 +441,7 @@
             customer.lost -= event.amount
             customer.own -= min(0.0, event.amount)  # it was taken off when the call ended
             others = self._take_total(customer, event.name, event.amount, event.total)
-            customer.debt = max(0.0, customer.debt + others)
+            customer.take(others)
 
     def _count_failed(self, event: Counted, customer: _Customer, amount: float) -> None:
         """No total. What was not added is owed; what may have been is this gateway's own in the next total.
@@ -455,10 +498,10 @@
         if self._failed >= BREAKER_TRIP or self._s.counter is None:
             others = cost * (max(1, job.request.entry_points) - 1)
         elif self._pooled is None and not job.added:
-            others = cost * customer.others(max(1, job.request.entry_points))
+            others = cost * customer.others(job.request.entry_points)
         cost += others
         # One request may cost more than the burst where many gateways share it: it waits for an empty debt.
-        if customer.debt + cost <= max(plan.burst, cost) and self._may_pass(job, plan):
+        if self._within(job, plan, cost) and self._may_pass(job, plan):
             self._enter_window(job, plan)
             customer.debt += cost
             customer.guess += others
