Takebacks stay in their window, and a customer that is short keeps some room free

Line by line: a refused add of the window before was taken back in the new one (amounts of 0 and -3 on a count that never held the +3), and the other gateways' debt fell by as much (25.6 -> 23.6 at a true use of 27.5); the rest lacked 1 to 3 units at the edge, adds under way or guessed. Causes: `owed` below nothing was carried over the edge of windows (`_enter_window`), and the edge had no allowance for adds that no total holds yet. A customer that is always at its edge loses nothing by one, as it has what is refilled.

--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -37,6 +37,7 @@
 CALL_HALF = 0.5  # of the burst taken; there a customer gets that share, with the square of it below and above
 EDGE_MOST = 0.5  # of the burst that is kept free for what other gateways have not told yet
 SHORT_WINDOWS = 2.0  # windows after a want of room in which cheaper classes leave some for dearer ones
+SHORT_KEEP = 0.5  # of the largest request; what every class leaves free then
 OTHERS_DOUBT = 2.0  # own units seen in totals at which they tell as much of the others' part as an even split
 LOOK_WINDOWS = 8.0  # windows after which what totals said of a customer has faded: long spells last longer
 HOT_CALLS = 2.0  # calls for a customer beyond its quota, for each that is likely to find room
@@ -295,14 +296,15 @@
                 self._decide_alone(job, plan)
 
     def _within(self, job: _Job, plan: Plan, units: float, sure: float = 0.0) -> bool:
-        """There is room for the units, and for a dearer request where the customer went short of late.
+        """There is room for the units, and for some more where the customer went short of late.
 
+        For adds that no total holds yet, as going beyond costs more than waiting; and for dearer requests.
         Guards against a quota that goes at its edge to whatever is small enough: what needs more room at once
         would never find it. Harms the cheaper class of a customer that asks for more than its quota.
         """
         customer = job.customer
         short = self._now - customer.short_at < SHORT_WINDOWS * plan.burst / plan.rate * SECOND
-        keep = (1.0 - job.cls.worth / self._dearest) * self._s.units_top if short else 0.0
+        keep = (SHORT_KEEP + 1.0 - job.cls.worth / self._dearest) * self._s.units_top if short else 0.0
         fits = customer.fits(units, job.request.entry_points, keep, sure)
         if not fits:
             customer.short_at = self._now
@@ -367,6 +369,7 @@
         if job.customer.window != name:
             job.customer.window, job.customer.total, job.customer.own, job.customer.lost = name, 0.0, 0.0, 0.0
             job.customer.guess, job.customer.excess = 0.0, 0.0  # totals tell nothing of the time before
+            job.customer.owed = max(0.0, job.customer.owed)  # this count never held what would be taken back
         return name, length
 
     def _count(self, job: _Job, plan: Plan, waiting: int | None, units: float) -> None:
