While the counter keeps up, what may just fit is asked for

Cause: what is refused without a call went by the whole allowance, with all that is kept free at its edge, also where the counter bears every call. Now a request is refused without a call there only where its units by themselves don't fit; the edge holds for its total, and for all where the counter is crowded.

The test fails without it.

--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -268,7 +268,7 @@
             self._try(job)
         elif self._s.counter is None:
             self._decide_alone(job, plan)
-        elif not self._within(job, plan, request.units, customer.guess):
+        elif self._no_room(job, plan):
             # Known to have no room: its add would only be taken back, and repeats would swamp the counter.
             self._end(job)
         elif self._failed >= BREAKER_TRIP:
@@ -295,6 +295,12 @@
             else:
                 self._decide_alone(job, plan)
 
+    def _no_room(self, job: _Job, plan: Plan) -> bool:
+        """Known before any call. What may just fit is for a total to say, as long as the counter keeps up."""
+        if self._calling >= 1.0:
+            return job.customer.debt + job.request.units > plan.burst
+        return not self._within(job, plan, job.request.units, job.customer.guess)
+
     def _within(self, job: _Job, plan: Plan, units: float, sure: float = 0.0) -> bool:
         """There is room for the units, and for some more where the customer went short of late.
 
--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -308,10 +308,16 @@
     driver.counted(12.0)  # others took 8 of 8
     driver.counted(8.0)  # the answer to the add-back
     driver.wait(2 * SECOND)  # four units
+    driver.gateway._calling = 0.9  # crowded: it is refused without a call
     assert kinds(driver.request(units=1.0)) == ["Refuse"]
+    driver.gateway._calling = 1.0
+    assert kinds(driver.request(units=1.0)) == ["Count"]  # as the units by themselves would fit
+    assert "Refuse" in kinds(driver.counted(9.0))
+    driver.counted(8.0)
     driver.request(units=2.0, cls=ONCE)
     assert kinds(driver.counted(10.0)) == ["Send"]
     driver.wait(SECOND // 2)  # one unit, but all keep two
+    driver.gateway._calling = 0.9
     assert kinds(driver.request(units=2.0, cls=ONCE)) == ["Refuse"]
 
 
