Load from qps reports, the own zone first, the least worth for its work refused first

Causes, in _learn, _choose and _room: - reports there hold qps alone. The module knew inflight and util, and took any other report for a load of 0, fresh: what others send was unseen, and the chance that spreads gateways who know nothing was off.

--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -58,12 +58,15 @@
 LIMIT_START = 4.0  # attempts out at a server at first, by all gateways: a few for each core
 LIMIT_RAISE = 1.0  # attempts more, by all gateways, after as many timely answers as a server may hold
 LIMIT_CUT = 0.6  # what is left of a server's limit after an answer that came too late
+KEPT = 0.3  # of all limits, what is left for others by those who are refused first
 GHOST_AIMS = 2.0  # aims after which a server that never answered is taken to have dropped an attempt given up
 WATCH_AGAIN = 10  # the part of the asking span after which a failed call to the list is made again
 WATCH_TOKEN = 0  # the timer of that; the timers of requests count from 1
 COLD_MARGIN = 0.4  # of the allowed sends to a cold server; the rest is for chance and what others do unevenly
 SAMPLE = 8  # servers that a gateway of a large fleet keeps to; a choice costs the same in any fleet
 STALE = SECOND  # microseconds after which what a server last showed of its load says little
+LOAD_FIELDS = ("inflight", "util", "qps")  # fields of load reports that tell of load
+FAR = 1.3  # times the expected wait at a server of another zone: the way there costs, and is longer
 PACE_TRUST = 10.0  # own answers of a server at which its pace counts as much as the pace of its kind
 
 
@@ -220,6 +223,7 @@
         self._pooled: _Limit | None = None  # one limit for all, where there are more gateways than servers
         self._live, self._credit, self._credit_at = 0, 0.0, now  # attempts out; attempt-microseconds saved up
         self._mean_value = 1e-9  # running mean of worth for the work
+        self._mean_answer = 0.0  # running mean answer time, of all classes
         self._mean_load = 0.0  # running mean of reported loads
         self._customers: OrderedDict[int, _Customer] = OrderedDict()
         self._jobs: dict[int, _Job] = {}
@@ -584,7 +588,7 @@
         old = self._now - int(GHOST_AIMS * self._longest)
         held = sum(min(server.held(old), server.limit.most) for server in self._ready)
         limit = sum(server.limit.most for server in self._ready)
-        return limit > 0 and held < max(1.0, limit)
+        return limit > 0 and held < max(1.0, limit * (1.0 - KEPT * rank))
 
     def _accrue(self) -> None:
         """Bring the credit up to now."""
@@ -614,6 +618,8 @@
                     continue
                 if self._pooled is None:
                     cost = 0.0  # its trial is due; hundreds of gateways try it without being made to
+            if server.line.zone != self._s.zone:
+                cost *= FAR
             if name == avoid:
                 cost = (1.0 + cost) * AVOID
             if best is None or cost < least:
@@ -797,8 +803,13 @@
             elif "util" in fields:
                 busy = min(0.8, max(0.0, fields["util"]))
                 server.load = busy / (1 - busy)
-            server.load_at = self._now
-            self._mean_load += SMOOTH * (server.load - self._mean_load)
+            elif "qps" in fields:
+                # What comes in a second, times how long each stays, is what is there.
+                stay = server.pace * self._mean_answer / SECOND
+                server.load = max(0.0, fields["qps"] * stay - len(server.out))
+            if not fields.keys().isdisjoint(LOAD_FIELDS):
+                server.load_at = self._now
+                self._mean_load += SMOOTH * (server.load - self._mean_load)
         if event.result in (Result.OK, Result.ERROR, Result.FULL):
             server.answered_at = self._now
         usual = self._usual[job.request.cls] or float(event.elapsed) if job is not None else 0.0
@@ -808,6 +819,7 @@
         if event.result is Result.OK:
             server.errors *= 1 - SMOOTH
             server.aside = server.aside and server.errors > ERROR_LIMIT
+            self._mean_answer += PACE_SMOOTH * (event.elapsed - self._mean_answer)
             if job is not None:
                 self._usual[job.request.cls] = usual + PACE_SMOOTH * (event.elapsed - usual)
         elif event.result in (Result.ERROR, Result.RESET, Result.CONNECT_FAILED):
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,62 @@
+"""Which server an attempt goes to, and who is refused first: by what reports, zones and worth tell."""
+
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from mothgap.interface import Cause, Refuse
+from tests.helpers import KEYED, MS, SETTINGS, START, Driver, line
+
+MANY = replace(SETTINGS, counter=None, fleet_size=1)
+
+
+def shown(driver: Driver, reports: dict[str, tuple[float, ...]], rounds: int = 60) -> Counter[str]:
+    """Where requests go, one at a time, at servers that answer in 50 ms with these reports."""
+    picked: Counter[str] = Counter()
+    for customer in range(rounds):
+        send = driver.admitted(customer=customer)
+        picked[send.server] += customer >= 2 * len(driver.lines)  # each was met by then
+        driver.wait(50 * MS)
+        driver.outcome(send.request, load=reports[send.server])
+    return +picked
+
+
+def test_a_server_that_is_sent_much_by_others_is_left_to_them() -> None:
+    # 80 requests a second that stay 50 ms each are 4 in work; the other one has a tenth of one.
+    driver = Driver(replace(MANY, report_fields=("qps",)), servers=2)
+    busy, calm = sorted(driver.lines)
+    picked = shown(driver, {busy: (80.0,), calm: (2.0,)})
+    assert picked[busy] < picked[calm] / 4
+
+
+def test_a_report_that_tells_nothing_of_load_is_not_taken_for_an_idle_server() -> None:
+    driver = Driver(replace(MANY, report_fields=("uptime",)), servers=2)
+    shown(driver, dict.fromkeys(driver.lines, (7.0,)))
+    assert all(server.load_at == START for server in driver.gateway._servers.values())
+
+
+def test_a_server_of_the_own_zone_is_taken_while_it_is_not_busier() -> None:
+    driver = Driver(replace(MANY, report_fields=("inflight",), zone=1), servers=0)
+    driver.members(line(1, zone=0), line(2, zone=1))
+    reports = {"10.0.0.1:80": (1.0,), "10.0.0.2:80": (1.0,)}
+    picked = shown(driver, reports)
+    assert picked["10.0.0.2:80"] > 3 * picked["10.0.0.1:80"]
+    reports["10.0.0.2:80"] = (4.0,)
+    assert shown(driver, reports)["10.0.0.1:80"] > 20
+
+
+@pytest.mark.parametrize(("cls", "refused"), [(0, True), (KEYED, False)])
+def test_what_earns_least_for_its_work_is_refused_first(cls: int, refused: bool) -> None:
+    # Both classes take as long, and the keyed one earns twice as much. Of 16 attempts 14 are out.
+    driver = Driver(MANY, servers=4)
+    for customer in range(40):
+        send = driver.admitted(customer=customer, cls=KEYED if customer % 2 else 0)
+        driver.wait(50 * MS)
+        driver.outcome(send.request)
+    for server in driver.gateway._servers.values():
+        server.limit.most = 4.0
+    for customer in range(14):
+        driver.admitted(customer=100 + customer, cls=KEYED)
+    actions = driver.request(customer=200, cls=cls)
+    assert ([a.cause for a in actions if isinstance(a, Refuse)] == [Cause.ROOM]) is refused
