What is given up before five usual answer times is no sign of silence, crowd or pace

A trace of time left and of what was given up showed: half of the first tries come with 100 to 200 ms then, and in the slow spell answers take half of an aim. Lines at fault: the timer in _send, and what _pace_limit and _learn made of it: a limit cut by 0.6, the server set aside, a pace that short waits made better than it was. Ruled out by the trace: the counter, cold servers, connects. The module's word for silence, five usual answer times, now holds there, too; what is given up sooner than an answer would be late does not cut a limit. Where clients mark later tries, a repeat with as much time left as some first tries of late is not taken for one whose aim has passed.

--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -15,7 +15,7 @@
 
 import math
 import random
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from itertools import islice
 
 from mothgap.interface import (
@@ -33,6 +33,7 @@
 CALL_RAISE = 0.02  # how much that share grows with a prompt answer; with the cut, one call in ten is late
 CALL_SLOW = 0.5  # of the counter's time limit; after slower answers the share of calls does not grow
 TRY_MATCH = 0.01  # of a class's deadline; how near to the usual patience a first try's time left is
+FIRSTS = 16  # first tries whose time left is known: some clients may be far less patient than most
 CALL_LEAST = 0.1  # of the requests that call at the least, so that a counter with room again is noticed soon
 CALL_HALF = 0.5  # of the burst taken; there a customer gets that share, with the square of it below and above
 EDGE_MOST = 0.5  # of the burst that is kept free for what other gateways have not told yet
@@ -234,6 +235,7 @@
         self._failed, self._failed_at = 0, now - NAME_LIFE
         self._trial_at = now  # when to try next
         self._patience = [(0, 0) for _ in settings.classes]  # usual time left of a try, and votes for it
+        self._firsts: dict[int, deque[int]] = {}  # by class: the time left of first tries, where clients tell
         self._over = [0.0 for _ in settings.plans]  # part of the decisions by total that were refusals
         self._calling, self._calling_cut = 1.0, now  # share of the requests that call; when it was last cut
         self._retries = RETRY_SAVED
@@ -365,14 +367,18 @@
         Most tries of a class come with the same time left. One with less is a later try with the rest of its
         time: once its aim has passed, it would take units and work for nothing. One with more is none: where
         many are refused, later tries are the most. Harms clients that come with little patience, hence only
-        where others would go without; where clients mark later tries it harms no first one.
+        where others would go without. Where clients mark later tries, first ones tell by themselves.
         """
         usual, votes = self._patience[request.cls]
-        less = usual - request.time_left
-        same = abs(less) <= TRY_MATCH * cls.deadline
+        same = abs(usual - request.time_left) <= TRY_MATCH * cls.deadline
         self._patience[request.cls] = (usual, votes + 1) if same else (
             (request.time_left, 0) if votes <= 0 else (usual, votes - 1))
-        later = less > 0 and not same and (request.retry or not self._s.marks_retries)
+        if self._s.marks_retries:
+            firsts = self._firsts.setdefault(request.cls, deque(maxlen=FIRSTS))
+            if not request.retry:
+                firsts.append(request.time_left)
+            usual = min(firsts, default=0)
+        later = request.time_left < usual - TRY_MATCH * cls.deadline
         crowded = self._calling < 1.0 or (self._pooled is not None and self._credit < self._longest / 2)
         return cls.deadline - request.time_left if later and crowded and cls.late_worth < 0.5 else 0
 
@@ -713,7 +719,8 @@
         repeatable = job.cls.effect is not Effect.ONCE and job.attempts + 1 < self._s.limits.max_attempts
         if repeatable and not job.ran and not job.live:  # a further one has what is left
             if self._s.limits.may_cancel:
-                self._set_timer(int(until_aim * FIRST_SPLIT), job.request.id, job.attempts)
+                delay = max(int(until_aim * FIRST_SPLIT), self._hush(job))
+                self._set_timer(delay, job.request.id, job.attempts)
             elif job.attempts == 0:
                 timeout = min(timeout, max(self._s.tick, int(until_aim * FIRST_SPLIT)))
         if job.attempts == 0:
@@ -729,6 +736,10 @@
         job.live[job.attempts] = (server, self._now)
         job.attempts += 1
 
+    def _hush(self, job: _Job) -> int:
+        """Time without an answer that tells something of a server; less only of a client's short patience."""
+        return int(SILENCE * self._usual[job.request.cls])
+
     # --- outcome ----------------------------------------------------------------------------------------
 
     def _on_outcome(self, event: Outcome) -> None:
@@ -784,7 +795,7 @@
         if event.result in (Result.TIMEOUT, Result.CANCELLED):
             old = self._now - int(GHOST_AIMS * self._longest)
             server.ghosts = [ghost for ghost in server.ghosts if ghost > old] + [sent]
-            late = True
+            late = job is None or event.elapsed > LATE_PART * job.cls.aim
         elif event.result is Result.OK:
             server.ghosts = [ghost for ghost in server.ghosts if ghost > sent]
             late = job is not None and event.elapsed > LATE_PART * job.cls.aim
@@ -813,7 +824,8 @@
         if event.result in (Result.OK, Result.ERROR, Result.FULL):
             server.answered_at = self._now
         usual = self._usual[job.request.cls] or float(event.elapsed) if job is not None else 0.0
-        if usual and event.result in (Result.OK, Result.TIMEOUT, Result.CANCELLED):
+        given_up = event.result in (Result.TIMEOUT, Result.CANCELLED)
+        if usual and (event.result is Result.OK or (given_up and event.elapsed > server.pace * usual)):
             # What was given up would have taken longer still: a kind too slow for its load must show it.
             server.count_pace(event.elapsed / usual, event.result is Result.OK, self._now)
         if event.result is Result.OK:
@@ -827,7 +839,8 @@
             if server.errors > ERROR_LIMIT:
                 server.put_aside(self._now, self._aside_span())
         elif event.result is Result.TIMEOUT:
-            if server.silent(self._now, self._now - event.elapsed):
+            hushed = job is None or event.elapsed >= self._hush(job)
+            if hushed and server.silent(self._now, self._now - event.elapsed):
                 server.put_aside(self._now, self._aside_span())
         elif event.result is Result.FULL:
             server.load, server.load_at = server.load + 4, self._now
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -116,6 +116,37 @@
     assert other(stuck, driver).server != stuck.server
 
 
+def test_servers_that_are_all_slow_are_waited_for() -> None:
+    # Usual answers take 150 ms of an aim of a second: half of that without one is no sign of silence yet.
+    driver = Driver(servers=4)
+    for n in range(12):
+        send = driver.admitted(customer=n)
+        driver.wait(150 * MS)
+        driver.outcome(send.request)
+    slow = driver.admitted(customer=50)
+    assert Cancel(slow.request, 0) not in driver.wait(700 * MS)
+    assert not any(server.aside for server in driver.gateway._servers.values())
+
+
+def test_what_clients_of_little_patience_give_up_tells_nothing_of_servers() -> None:
+    # Answers take 50 ms, and these clients wait for 40: that is no silence, no crowd and no quick pace.
+    driver = Driver(servers=2)
+    for n in range(20):
+        send = driver.admitted(customer=n)
+        driver.wait(50 * MS)
+        driver.outcome(send.request)
+    servers = driver.gateway._servers.values()
+    before = [(server.limit.most, server.pace) for server in servers]
+    for n in range(20):
+        driver.request(customer=100 + n, time_left=40 * MS)
+        if driver.calls:
+            driver.counted(1.0)
+        driver.wait(100 * MS)
+    assert len([a for a in driver.actions if isinstance(a, Send)]) > 25
+    assert [(server.limit.most, server.pace) for server in servers] == before
+    assert not any(server.aside for server in servers)
+
+
 def test_a_slow_server_that_answers_others_is_waited_for() -> None:
     driver = Driver(servers=1)
     slow = driver.admitted(customer=50)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,6 +1,7 @@
 """Which server an attempt goes to, and who is refused first: by what reports, zones and worth tell."""
 
 from collections import Counter
+from collections.abc import Mapping
 from dataclasses import replace
 
 import pytest
@@ -11,7 +12,7 @@
 MANY = replace(SETTINGS, counter=None, fleet_size=1)
 
 
-def shown(driver: Driver, reports: dict[str, tuple[float, ...]], rounds: int = 60) -> Counter[str]:
+def shown(driver: Driver, reports: Mapping[str, tuple[float, ...]], rounds: int = 60) -> Counter[str]:
     """Where requests go, one at a time, at servers that answer in 50 ms with these reports."""
     picked: Counter[str] = Counter()
     for customer in range(rounds):
--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -420,6 +420,16 @@
         assert ([a.cause for a in actions if isinstance(a, Refuse)] == [Cause.NO_TIME]) is refused
 
 
+def test_where_some_clients_have_little_patience_their_marked_repeats_are_served() -> None:
+    # A repeat with 300 ms left is no last one where first tries come with as much.
+    driver = Driver(replace(SETTINGS, marks_retries=True))
+    for customer in range(8):
+        driver.request(customer=customer, time_left=(300 if customer == 2 else 3_000) * MS)
+    driver.gateway._calling = 0.9
+    actions = driver.request(customer=9, time_left=300 * MS, retry=True)
+    assert not any(isinstance(a, Refuse) for a in actions)
+
+
 def test_late_and_refused_calls_mean_that_it_is_crowded() -> None:
     for result in (Result.TIMEOUT, Result.FULL):
         driver = Driver()
