The trace of a request is passed on to boxes of RESP2, too; what boxes by HTTP read is fuzzed

Need: traceparent came back to the client and stopped there for RESP2 boxes. It stands in the JSON now.

A property test holds what is written for a box by HTTP against what was understood (300 examples). make schema found its tester only from an absolute path.

--- a/bench/http_schema.py
+++ b/bench/http_schema.py
@@ -23,7 +23,7 @@
 from lynxreel.local.deployment import HOST, Deployment
 from lynxreel.local.web import write
 
-TESTER = Path(os.environ.get("SCHEMATHESIS", ".venv-schema/bin/schemathesis"))
+TESTER = Path(os.environ.get("SCHEMATHESIS", ".venv-schema/bin/schemathesis")).absolute()
 CHECKS = (
     "not_a_server_error,status_code_conformance,negative_data_rejection,positive_data_acceptance,"
     "missing_required_header,unsupported_method,ignored_auth,allow_header_conformance"
--- a/lynxreel/fronts/http.py
+++ b/lynxreel/fronts/http.py
@@ -97,7 +97,10 @@
         """The command for a box: CALL.POST, whose last string says what was asked (docs/openapi.md)."""
         names = self.serving.classes[self.cls], self.serving.plans[self.plan]
         terms = b"c=%b,t=%b,d=%d,units=%g" % (*names, max(1, wait // 1_000), self.units)
-        return resp.pack([b"CALL.POST", b"%016x" % self.customer, self.id, terms, self.whole.payload])
+        payload = self.whole.payload
+        if trace := self.connection.trace():
+            payload = b'%b,"traceparent":"%b"}' % (payload[:-1], trace.encode())
+        return resp.pack([b"CALL.POST", b"%016x" % self.customer, self.id, terms, payload])
 
     def exchange(self, wait: int) -> Exchange:
         """The request for a box that speaks HTTP: written anew, with whose it is and what it costs."""
@@ -198,6 +201,11 @@
         self._peer = str(transport.get_extra_info("peername")[0])
         self.web.add(self)
 
+    def trace(self) -> str:
+        """The traceparent of the request that is served; empty where it has none that is one."""
+        shown = self._headers.get("traceparent", "")
+        return shown if TRACE.fullmatch(shown) else ""
+
     def came_from(self, proxies: tuple[Network, ...]) -> str:
         """Where the request that is served came from, for a box."""
         return told(self._peer, self._headers, proxies)
@@ -369,8 +377,8 @@
             return
         bare = self._method == "HEAD" or status in EMPTY
         listed = [("X-Request-Id", self._request_id), *headers]
-        if TRACE.fullmatch(self._headers.get("traceparent", "")):
-            listed.append(("traceparent", self._headers["traceparent"]))
+        if trace := self.trace():
+            listed.append(("traceparent", trace))
         if status not in EMPTY:
             listed += [("Content-Type", kind)] if kind else []
             listed.append(("Content-Length", str(len(body))))
--- a/lynxreel/standins/box.py
+++ b/lynxreel/standins/box.py
@@ -36,7 +36,8 @@
     link: BoxLink
     number: bytes  # the request's id
     cls: str
-    terms: bytes = b""  # as its sender wrote them
+    terms: bytes = b""  # as its sender wrote them; likewise the body
+    body: bytes = b""
     fault: Fault | None = None
     over: bool = False  # its connection has gone, or its answer
 
@@ -92,7 +93,7 @@
         known = words[0] in COMMANDS
         if known and len(words) == COMMANDS[words[0]]:
             name = words[3].partition(b"c=")[2].partition(b",")[0].decode()
-            self.box.take(Work(self, words[2], name, words[3]))
+            self.box.take(Work(self, words[2], name, words[3], b"".join(words[4:])))
             return
         work = Work(self, b"", "")
         self.queue.append((work, b""))
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -213,6 +213,26 @@
     run(scenario)
 
 
+def test_a_box_is_told_the_trace_that_a_request_belongs_to(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with web(tmp_path) as deployment:
+            client, bodies = await Client.to(deployment.gateways[0]), list[dict[str, Any]]()
+            for box in deployment.boxes:
+
+                def take(work: Work, take: Any = box.take) -> None:
+                    bodies.append(json.loads(work.body))
+                    take(work)
+
+                box.take = take  # type: ignore[method-assign]
+            good = f"00-{'a' * 32}-{'b' * 16}-01"
+            for trace in (good, "00-no-trace"):
+                assert (await client.ask("GET", "/v1/numbers/1", traceparent=trace)).status == 200
+            assert [body.pop("traceparent", None) for body in bodies] == [good, None]
+            assert bodies[0] == bodies[1]
+
+    run(scenario)
+
+
 def test_what_does_not_fit_the_description_is_a_problem_and_reaches_no_box(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with web(tmp_path) as deployment:
--- a/tests/test_http_boxes.py
+++ b/tests/test_http_boxes.py
@@ -3,19 +3,25 @@
 import asyncio
 import itertools
 import json
+import re
 from collections import Counter
 from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any, cast
+from urllib.parse import parse_qsl, quote
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from lynxreel.backends.http import Http
 from lynxreel.backends.pools import Servers
 from lynxreel.engine.engine import Attempt, Engine
 from lynxreel.jsonlines import ask
+from lynxreel.openapi.admission import Admission, Rejected, Terms
 from lynxreel.openapi.compile import DescriptionError, compiled
+from lynxreel.openapi.routes import split
 from lynxreel.protocol.exchange import Answer, Exchange
 from lynxreel.standins.faults import Fault, Kind
 from lynxreel.standins.http_box import HttpLink, Seen
@@ -24,7 +30,7 @@
 from tests.helpers import SETTINGS
 from tests.net import LOCAL, Heard, Peer
 from tests.net import run as run_short
-from tests.test_http import Client, came, customers, description, web, young
+from tests.test_http import OK, Client, came, customers, description, web, young
 
 GET = Exchange("GET", "/v1/numbers/1", (("Accept", "*/*"),), turned_away=frozenset({503}))
 FAST = replace(SETTINGS, limits=Limits(max_attempts=4, connect_timeout=250_000))
@@ -142,6 +148,39 @@
     run_short(scenario)
 
 
+TEXT = st.text(st.characters(exclude_categories=["Cs"]), min_size=1, max_size=12)
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.lists(TEXT, min_size=2, max_size=2), st.lists(st.tuples(st.sampled_from("abcd"), TEXT), max_size=4))
+def test_what_is_written_for_a_box_is_read_as_what_was_understood(
+    names: list[str], pairs: list[tuple[str, str]]
+) -> None:
+    """Whatever stands in a path or a query, escaped as little as a client may."""
+    parameters = [{"name": n, "in": "path", "required": True, "schema": {"type": "string"}} for n in "xy"]
+    parameters += [{"name": n, "in": "query", "schema": {"type": "array"}} for n in "abc"]
+    held = {
+        "openapi": "3.0.3", "info": {"title": "t", "version": "1"},
+        "servers": [{"url": "/v1", "x-lynxreel": {"boxes": "http", "path": "/in"}}],
+        "x-lynxreel": {"plan": "p", "class": "c"},
+        "paths": {"/{x}/k/{y}": {"get": {"parameters": parameters, **OK}}},
+    }  # fmt: skip
+    table = compiled("api.json", lambda name: json.dumps(held).encode())
+    admission = Admission(table, True, Terms({"c": 0}, {}, {"p": 0}, {"c": 1_000}, 4.0), {}, None)
+    target = "/v1/{}/k/{}".format(*(quote(name, safe="!$'()*+,:@&=") for name in names))
+    target += "?" + "&".join(f"{name}={quote(value, safe='')}" for name, value in pairs) if pairs else ""
+    try:
+        head = admission.head("GET", target, {})
+    except Rejected as wrong:
+        assert wrong.status in (400, 404)
+        return
+    path, _, query = head.target.partition("?")
+    assert split(path) == ["in", names[0], "k", names[1]]
+    declared = [pair for pair in pairs if pair[0] != "d"]
+    assert sorted(parse_qsl(query, keep_blank_values=True)) == sorted(declared)
+    assert re.fullmatch(r"[!-~]+", head.target)
+
+
 # --- whole gateways ---------------------------------------------------------------------------------------
 
 
