--- a/bench/http_relay.py
+++ b/bench/http_relay.py
@@ -39,7 +39,8 @@
         out = self._http.send(h11.Response(status_code=200, headers=headers)) or b""
         out += self._http.send(h11.Data(data=number)) or b""
         out += self._http.send(h11.EndOfMessage()) or b""
-        self.transport.write(out)
+        if not self.transport.is_closing():  # the load may have ended
+            self.transport.write(out)
         self._http.start_next_cycle()
 
 
