--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,8 +7,8 @@
 import sys
 
 NAMES = (
-    "cost", "start", "drain", "fleet", "seeds", "counter_faults", "counter_clients", "counter_cost",
-    "etcd", "routes", "http_cost", "http_mixed", "http_fuzz", "http_schema",
+    "cost", "decisions", "start", "drain", "fleet", "seeds", "counter_faults", "counter_clients",
+    "counter_cost", "etcd", "routes", "http_cost", "http_mixed", "http_fuzz", "http_schema",
 )  # fmt: skip
 
 
--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -68,6 +68,7 @@
 STALE = SECOND  # microseconds after which what a server last showed of its load says little
 LOAD_FIELDS = ("inflight", "util", "qps")  # fields of load reports that tell of load
 FAR = 1.3  # times the expected wait at a server of another zone: the way there costs, and is longer
+NEAR_ALIKE = 1.05 - 0.95  # waits this near to each other are alike: chance decides
 PACE_TRUST = 10.0  # own answers of a server at which its pace counts as much as the pace of its kind
 
 
@@ -592,8 +593,11 @@
             return self._credit > spent + RESERVE * rank * self._longest
         # What one server holds beyond its limit, all of it given up perhaps, takes no room at the others.
         old = self._now - int(GHOST_AIMS * self._longest)
-        held = sum(min(server.held(old), server.limit.most) for server in self._ready)
-        limit = sum(server.limit.most for server in self._ready)
+        held = limit = 0.0
+        for server in self._ready:  # written out: this and the choice are most of what a request costs
+            most, count = server.limit.most, server.held(old) if server.ghosts else len(server.out)
+            held += count if count < most else most
+            limit += most
         return limit > 0 and held < max(1.0, limit * (1.0 - KEPT * rank))
 
     def _accrue(self) -> None:
@@ -608,23 +612,24 @@
         if not self._room():
             return None
         old, ready = self._now - int(GHOST_AIMS * self._longest), self._near
-        suspects = sorted((s for s in ready if self._suspect(s)), key=lambda s: (-s.errors, s.answered_at))
-        # A refused connect proves a server down, so there is no floor under the share of those set aside.
-        down = sum(s.errors >= 1.0 for s in suspects)
-        shunned = {s.line.server: None for s in suspects[: max(down, int(ASIDE_MOST * len(ready)))]}
+        shunned, each = self._shunned(), self._pooled is None
+        cold_since = self._now - self._s.safety.cold_span
         best, least = None, 0.0
         for server in ready:
-            name = server.line.server
-            full = self._pooled is None and server.held(old) >= server.limit.most
-            if full or not self._fits(job, server) or not self._cold_room(server):
+            line = server.line
+            if each and (server.held(old) if server.ghosts else len(server.out)) >= server.limit.most:
+                continue
+            if job.ran and not self._fits(job, server):
                 continue
-            cost = self._wait(server)
+            if line.started_at > cold_since and not self._cold_room(server):
+                continue
+            name, cost = line.server, self._wait(server)
             if name in shunned:
                 if server.out or self._now < server.trial or job.cls.effect is Effect.ONCE:
                     continue
                 if self._pooled is None:
                     cost = 0.0  # its trial is due; hundreds of gateways try it without being made to
-            if server.line.zone != self._s.zone:
+            if line.zone != self._s.zone:
                 cost *= FAR
             if name == avoid:
                 cost = (1.0 + cost) * AVOID
@@ -652,21 +657,31 @@
         The less is known of a server's load, the more chance decides, in proportion to what its kind does:
         gateways that know as little as each other must not all pick the same server.
         """
-        weight = max(0.01, server.line.weight) if self._s.weighted else 1.0
         known = math.exp((server.load_at - self._now) / STALE)
         others = server.load * known + self._mean_load * (1.0 - known)
         trust = server.seen / (server.seen + PACE_TRUST)
         pace = server.pace * trust + server.kind.pace * (1.0 - trust)
-        chance = self._random.uniform(0.95, 1.05) * math.pow(self._random.expovariate(1.0), (1.0 - known) / 2)
-        risk = 1.0 + ERROR_WEIGHT * server.errors
-        return pace * risk * (1.0 + (len(server.out) + others) / weight) * chance
-
-    def _suspect(self, server: _Server) -> bool:
-        """Set aside, or silent for so long that it is about to be."""
-        if server.aside:
-            return True
-        oldest = next(iter(server.out.values()), self._now)
-        return self._now - max(oldest, server.answered_at) > SILENCE * (max(self._usual) or SECOND / 10)
+        # 5% either way, and a chance that is exponentially distributed; drawn like this for speed.
+        draw = self._random.random
+        chance = (0.95 + NEAR_ALIKE * draw()) * math.pow(-math.log(1.0 - draw()), (1.0 - known) / 2)
+        line = len(server.out) + others
+        if self._s.weighted:
+            line /= max(0.01, server.line.weight)
+        return pace * (1.0 + ERROR_WEIGHT * server.errors) * (1.0 + line) * chance
+
+    def _shunned(self) -> dict[str, None]:
+        """The worst of those that are set aside, or silent for so long that they are about to be."""
+        since = self._now - SILENCE * (max(self._usual) or SECOND / 10)
+        suspects = [
+            s for s in self._near
+            if s.aside or (s.out and s.answered_at < since and next(iter(s.out.values())) < since)
+        ]  # fmt: skip
+        if not suspects:
+            return {}
+        suspects.sort(key=lambda s: (-s.errors, s.answered_at))
+        # A refused connect proves a server down, so there is no floor under the share of those set aside.
+        down = sum(s.errors >= 1.0 for s in suspects)
+        return {s.line.server: None for s in suspects[: max(down, int(ASIDE_MOST * len(self._near)))]}
 
     def _aside_span(self) -> int:
         calls = ASIDE_CALLS * (1.0 if self._pooled is None else len(self._ready))
