A gateway may hold a part of its share of ceilings; what it hands back goes at once

Need: while one instance takes another's place, both hold a share of each ceiling, and the sum passes the whole. The event Share tells the module what part it holds; less hands back what was saved up in it, more starts from what is there.

--- a/lynxreel/engine/engine.py
+++ b/lynxreel/engine/engine.py
@@ -167,6 +167,11 @@
         self._news.append(api.NewSettings(settings))
         self._schedule()
 
+    def share(self, part: float) -> None:
+        """Hold this part of an even share of all ceilings from now on; it goes before all that is queued."""
+        self._news.append(api.Share(part))
+        self._schedule()
+
     def believes(self, customer: int) -> dict[str, float]:
         """What the module knows of a customer's use, for the operators."""
         return self._module.believes(customer)
--- a/mothgap/interface.py
+++ b/mothgap/interface.py
@@ -281,6 +281,17 @@
     token: int
 
 
+@dataclass(frozen=True, slots=True)
+class Share:
+    """What part of its even share of ceilings this instance holds from now on; 1 at the start.
+
+    Less hands the rest back at once, with what had been saved up in it; more starts from what is there. So
+    long as the parts of all come to no more than their even shares, neither does what they let through.
+    """
+
+    part: float
+
+
 @dataclass(frozen=True, slots=True)
 class ClockShift:
     """How far the clock that all gateways share is ahead of this one's; counts are named by that.
@@ -304,7 +315,7 @@
 
 Event: TypeAlias = (
     Request | Outcome | Started | Counted | CountedLate | Expired | Members | Probed | PeerMessage | Timer
-    | NewSettings | ClockShift
+    | NewSettings | ClockShift | Share
 )
 
 
--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -21,7 +21,7 @@
 from mothgap.interface import (
     Action, Cancel, Cause, ClockShift, Count, Counted, CountedLate, Effect, Event, Expired, Fail, Group,
     ListKind, Member, Members, NewSettings, Outcome, Plan, Refuse, Request, RequestClass, Result, Send,
-    SetTimer, Settings, State, Timer, Watch,
+    SetTimer, Settings, Share, State, Timer, Watch,
 )  # fmt: skip
 
 SECOND = 1_000_000  # microseconds
@@ -86,9 +86,9 @@
 class _Customer:
     """What this gateway knows of one customer's use. `debt` is units taken and not yet refilled, over all."""
 
-    __slots__ = ("at", "backlog", "burst", "ceiling", "debt", "excess", "guess", "limit_at", "looks", "lost",
-                 "open", "over", "own", "owed", "seen_others", "seen_own", "short_at", "total",
-                 "window")
+    __slots__ = ("at", "backlog", "burst", "ceiling", "debt", "excess", "fill", "full", "guess", "limit_at",
+                 "looks", "lost", "open", "over", "own", "owed", "seen_others", "seen_own", "short_at",
+                 "total", "window")
 
     def __init__(self, burst: float, now: int) -> None:
         self.burst, self.debt, self.at = burst, 0.0, now
@@ -100,7 +100,8 @@
         self.lost = 0.0  # adds in the window whose answer never came: the next total holds them
         self.owed = 0.0  # units that passed without a call: to be added with the next one
         self.backlog = 0.0  # running mean of what was owed when calls were made
-        self.ceiling, self.limit_at = 0.0, now
+        self.ceiling, self.limit_at = 0.0, 0.0  # what the ceiling allows, and where on `_filled` that was
+        self.fill, self.full = 0.0, 0.0  # what an even share of it refills a second, and holds
         self.short_at = now - NAME_LIFE  # when it was last found to have no room
         self.open = 0
 
@@ -213,7 +214,6 @@
     def __init__(self, settings: Settings, seed: int, now: int) -> None:
         self._s = settings
         self._random = random.Random(seed)
-        self._born = now
         self._now, self._shift = now, 0  # the shift is of the shared clock, which names windows
         self._out: list[Action] = []
         self._servers: dict[str, _Server] = {}
@@ -243,6 +243,7 @@
         self._dearest = max(cls.worth for cls in settings.classes)
         self._longest = max(cls.aim for cls in settings.classes)
         self._credit = float(self._longest)
+        self._part, self._filled, self._filled_at = 1.0, 0.0, now  # of ceilings; microseconds at a whole part
         self._tokens: dict[int, tuple[int, int | None]] = {}  # timers: request, and attempt; None: its total
         self._token = 0
 
@@ -267,6 +268,8 @@
                 self._on_expired(event)
             case ClockShift():
                 self._shift = event.offset
+            case Share():
+                self._on_share(event.part)
             case NewSettings():
                 self._on_settings(event.settings)
         return self._out
@@ -388,8 +391,7 @@
         customer = self._customers.get(request.customer)
         if customer is None:
             customer = self._customers[request.customer] = _Customer(plan.burst, self._now)
-            # The ceiling's share starts empty at boot, so that no restart refills it.
-            customer.limit_at = self._born
+            # The ceiling's share starts empty at boot (`limit_at` is 0), so that no restart refills it.
         elif customer.burst != plan.burst:
             customer.burst = plan.burst  # a plan's new figures hold for what is taken already, too
         self._customers.move_to_end(request.customer)
@@ -404,13 +406,25 @@
             customer.looks, customer.over = customer.looks * fade, customer.over * fade
         customer.at = self._now
         spread = max(1, request.entry_points)
-        customer.ceiling = min(
-            plan.ceiling_burst / spread,
-            customer.ceiling + plan.ceiling_rate / spread * (self._now - customer.limit_at) / SECOND,
-        )
-        customer.limit_at = self._now
+        customer.fill, customer.full = plan.ceiling_rate / spread, plan.ceiling_burst / spread
+        self._refill(customer)
         return customer
 
+    def _refill(self, customer: _Customer) -> None:
+        """What has come to this gateway's share of the customer's ceiling since it was looked at."""
+        filled = self._filled + self._part * (self._now - self._filled_at)
+        more = customer.fill * (filled - customer.limit_at) / SECOND
+        customer.ceiling, customer.limit_at = min(customer.full * self._part, customer.ceiling + more), filled
+
+    def _on_share(self, part: float) -> None:
+        """Guards the sum of the shares: what is handed back goes with what had been saved up in it."""
+        if part < self._part:
+            for customer in self._customers.values():
+                self._refill(customer)
+                customer.ceiling *= part / self._part
+        self._filled += self._part * (self._now - self._filled_at)
+        self._part, self._filled_at = part, self._now
+
     def _may_pass(self, job: _Job, plan: Plan) -> bool:
         """Rule 5, and plans that cap what is out: this gateway's own share, whatever the counter says."""
         spread = max(1, job.request.entry_points)
