--- a/lynxreel/cli/main.py
+++ b/lynxreel/cli/main.py
@@ -43,7 +43,11 @@
 def _serve(args: argparse.Namespace) -> int:
     from lynxreel.daemon.serve import serve
 
-    return serve(args.config)
+    if args.worker is None:
+        return serve(args.config, take_over=args.take_over)
+    from lynxreel.workers.worker import Post
+
+    return serve(args.config, Post.read(args.worker))
 
 
 def _control(args: argparse.Namespace) -> int:
@@ -119,6 +123,10 @@
 
     serve = commands.add_parser("serve", help="run an instance in the foreground")
     serve.add_argument("--config", type=Path, required=True, metavar="FILE", help="the operator file")
+    serve.add_argument(
+        "--take-over", action="store_true", help="from the supervisor that runs there; no connect is refused"
+    )
+    serve.add_argument("--worker", help=argparse.SUPPRESS)  # what a supervisor starts its workers with
     serve.set_defaults(run=_serve)
 
     check = commands.add_parser("check", help="check an operator file and tell every error in it")
--- a/lynxreel/config/deploy.py
+++ b/lynxreel/config/deploy.py
@@ -23,7 +23,7 @@
 
 MS = 1_000  # microseconds
 FIXED = (  # only at a start
-    "gateway.name", "gateway.number", "gateway.gateways", "state", "records",
+    "gateway.name", "gateway.number", "gateway.gateways", "gateway.workers", "supervisor", "state", "records",
     "counter.guard", "counter.beat_ms", "boxes.file", "boxes.etcd", "boxes.most_removed",
     "boxes.removed_within_ms", "http.listen", "http.repeat_keys", "http.repeat_ms",
 )  # fmt: skip
@@ -83,9 +83,33 @@
         (class_places, plan_places),
         counter.beat_ms * MS if counter and counter.guard else 0,
         _http(file, names, settings, before) if file.http is not None else None,
+        max(1, file.gateway.workers),
     )
 
 
+def for_worker(file: model.OperatorFile, slot: int, side: str) -> model.OperatorFile:
+    """The file of one worker: an instance of its own, with its own number, folder and records.
+
+    `side` tells the workers of one supervisor from those of the one that takes over from it.
+    """
+    gateway, mark = file.gateway, f"{slot}{side}"
+    numbers = {
+        "name": f"{gateway.name}-{slot}",
+        "number": gateway.number * gateway.workers + slot,
+        "gateways": gateway.gateways * gateway.workers,
+    }
+    folder = str(Path(file.state.folder) / f"worker-{mark}")
+    changed: dict[str, object] = {
+        "gateway": gateway.model_copy(update=numbers),
+        "state": file.state.model_copy(update={"folder": folder}),
+    }
+    if file.records is not None:
+        path = Path(file.records.file)
+        own = str(path.with_name(f"{path.stem}-{mark}{path.suffix}"))
+        changed["records"] = file.records.model_copy(update={"file": own})
+    return file.model_copy(update=changed)
+
+
 def _placed(
     places: dict[str, int], named: list[tuple[str, Known]], before: tuple[Known, ...]
 ) -> tuple[Known, ...]:
--- a/lynxreel/config/model.py
+++ b/lynxreel/config/model.py
@@ -41,6 +41,9 @@
     listen: tuple[Address, ...] = Field(min_length=1, strict=False)
     number: int = Field(default=0, ge=0, description="of this instance in its fleet, from 0")
     gateways: int = Field(default=1, ge=1, le=100_000, description="instances in the fleet")
+    workers: int = Field(
+        default=0, ge=0, le=256, description="instances behind each address, supervised; 0: one, alone"
+    )
 
     @model_validator(mode="after")
     def _check(self) -> Gateway:
@@ -209,6 +212,24 @@
     deadline_ms: Milliseconds = Field(default=10_000, description="after which what is left is cut off")
 
 
+class Supervisor(_Table):
+    """How workers are looked after, and how listeners pass to a new version."""
+
+    watchdog_ms: Milliseconds = Field(default=5_000, description="without a sign of life before a kill")
+    quick_ms: Milliseconds = Field(default=1_000, description="a shorter life counts as dying at once")
+    pause_ms: Milliseconds = Field(default=100, description="before a restart after that; doubled each time")
+    most_pause_ms: Milliseconds = 10_000
+    give_up: int = Field(default=5, ge=1, le=1_000, description="deaths at once in a row")
+    handover_ms: Milliseconds = Field(default=30_000, description="for a new version to be warm")
+    moment_ms: Milliseconds = Field(default=5_000, description="for each step of a handover after that")
+
+    @model_validator(mode="after")
+    def _check(self) -> Supervisor:
+        if self.watchdog_ms < 500:
+            raise ValueError("watchdog_ms is under 500: a worker shows life four times a second; raise it")
+        return self
+
+
 class State(_Table):
     """Where the lock and the state file are."""
 
@@ -256,6 +277,7 @@
     drain: Drain = Drain()
     records: Records | None = None
     http: Http | None = None
+    supervisor: Supervisor = Supervisor()
 
     @model_validator(mode="after")
     def _check(self) -> OperatorFile:
--- a/lynxreel/daemon/notify.py
+++ b/lynxreel/daemon/notify.py
@@ -29,6 +29,10 @@
         """Started, or a reload is over."""
         self._send(f"READY=1\nSTATUS={status}")
 
+    def taken_over(self) -> None:
+        """This process is the service from now on, though the manager started another one."""
+        self._send(f"MAINPID={os.getpid()}")
+
     def reloading(self) -> None:
         """A reload has begun; with its time, as Type=notify-reload wants it."""
         self._send(f"RELOADING=1\nMONOTONIC_USEC={time.clock_gettime_ns(time.CLOCK_MONOTONIC) // 1000}")
--- a/lynxreel/daemon/place.py
+++ b/lynxreel/daemon/place.py
@@ -20,7 +20,8 @@
     def __init__(self, folder: str | Path) -> None:
         self.folder = Path(folder)
         self.queries = self.folder / "queries.sock"
-        self._lock: int | None = None
+        self.handover = self.folder / "handover.sock"
+        self.lock: int | None = None  # its descriptor
 
     def take(self) -> None:
         """Lock the folder, making it if there is none. Raises Taken, or an OSError."""
@@ -31,7 +32,11 @@
         except OSError:
             os.close(lock)
             raise Taken(f"{self.folder}: another instance runs here") from None
-        self._lock = lock
+        self.lock = lock
+
+    def adopt(self, lock: int) -> None:
+        """Hold the lock by a copy of its holder's descriptor: it is held until both have ended."""
+        self.lock = lock
 
     def held(self) -> bool:
         """Whether an instance runs here, whatever the state file says."""
@@ -63,6 +68,6 @@
 
     def leave(self) -> None:
         """Give the lock back."""
-        if self._lock is not None:
-            os.close(self._lock)
-            self._lock = None
+        if self.lock is not None:
+            os.close(self.lock)
+            self.lock = None
--- a/lynxreel/daemon/serve.py
+++ b/lynxreel/daemon/serve.py
@@ -3,52 +3,70 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import os
 import resource
 import secrets
 import signal
+import socket
 import time
+from collections.abc import Mapping
 from contextlib import suppress
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import uvloop
 
 from lynxreel import __version__
-from lynxreel.config.deploy import changes, deploy, fixed
+from lynxreel.config.deploy import changes, deploy, fixed, for_worker
 from lynxreel.config.model import OperatorFile
 from lynxreel.config.overlay import overlay
 from lynxreel.config.read import ConfigError, read
+from lynxreel.daemon.codes import ADDRESS, ADDRESS_TAKEN, BAD_CONFIG, INNER_FAULT, OK, PLACE_TAKEN
 from lynxreel.daemon.lifecycle import Ask, Do, Empty, Event, Life, Reloaded, Started, State, Tick
 from lynxreel.daemon.notify import Notifier
 from lynxreel.daemon.place import Place, Taken
+from lynxreel.fronts.listeners import Doors, OwnDoors, activated
 from lynxreel.jsonlines import Commands, listen
 from lynxreel.log import log
 from lynxreel.node import Deployment, Node
+from lynxreel.protocol.address import Address
 from lynxreel.records.tally import Tally
 from lynxreel.records.writer import Writer
 
-# Exit codes, after sysexits.h.
-OK, USAGE, ADDRESS_TAKEN, INNER_FAULT, PLACE_TAKEN, BAD_CONFIG = 0, 64, 69, 70, 75, 78
+if TYPE_CHECKING:
+    from lynxreel.workers.worker import Leash, Post
+
 SIGNALS = {
     signal.SIGHUP: Ask.RELOAD, signal.SIGUSR1: Ask.DRAIN,
     signal.SIGTERM: Ask.STOP, signal.SIGINT: Ask.STOP,
 }  # fmt: skip
-ADDRESS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EACCES)
 QUIET_SPANS = 10  # spans of records with nothing to tell after which a line is written all the same
 
 
 class Daemon:
     """Runs one instance until it has stopped."""
 
-    def __init__(self, path: Path, file: OperatorFile, deployment: Deployment, place: Place) -> None:
-        self._path, self._file, self._place = path, file, place
+    def __init__(
+        self, path: Path, file: OperatorFile, deployment: Deployment, place: Place,
+        given: Mapping[Address, socket.socket] | None = None, post: Post | None = None,
+    ) -> None:  # fmt: skip
+        """`given`: listeners of a service manager; `post`: what a supervisor's worker is started with."""
+        self._path, self._file, self._place, self._post = path, file, place, post
         self._loop = asyncio.get_running_loop()
         self._notifier = Notifier()
         self._events: asyncio.Queue[Event] = asyncio.Queue()
         self._life = Life(file.drain.accept_ms / 1e3, file.drain.deadline_ms / 1e3)
-        self._node = Node(deployment, secrets.randbits(64), None, self._loop)
+        doors: Doors = OwnDoors(self._loop, given)
+        self._leash: Leash | None = None
+        if post is not None:
+            from lynxreel.workers.worker import Leash, SharedDoors  # here: only under a supervisor
+
+            doors = shared = SharedDoors(post, self._loop)
+            self._leash = Leash(post, shared, self._loop, self._door, self._orphaned)
+        self._node = Node(deployment, secrets.randbits(64), None, self._loop, doors=doors)
+        if post is not None:
+            shared.count = lambda: self._node.connections
+            self._node.engine.share(0.0)  # until its door opens: another one may hold it still
         self._tally = self._node.engine.tally = Tally()
         self._writer: Writer | None = None
         if file.records is not None:
@@ -78,6 +96,8 @@
         self._tasks = [start, self._loop.create_task(self._count())]
         if self._notifier.watchdog is not None:
             self._tasks.append(self._loop.create_task(self._show_life(self._notifier.watchdog)))
+        if self._leash is not None:
+            self._tasks.append(self._loop.create_task(self._leash.beat()))
         try:
             while self._life.state is not State.STOPPED:
                 event = await self._next(start)
@@ -93,6 +113,8 @@
             if self._queries is not None:
                 self._queries.close()
             self._node.close()
+            if self._leash is not None:
+                self._leash.close()
             if self._writer is not None:
                 self._writer.close()
         return OK
@@ -142,11 +164,30 @@
     async def _start(self) -> None:
         """Take clients once the servers are known: before that every answer would be a refusal."""
         waiting = self._loop.call_later(1.0, log, "waiting for the first list of servers")
-        await self._node.start(None)
+        if self._leash is None:
+            await self._node.start(None)
+        else:
+            await self._node.warm(None)
+            self._leash.ready()
         waiting.cancel()
         self._record("started", {"listen": list(self._file.gateway.listen)})
         self._events.put_nowait(Started())
 
+    async def _door(self, opened: bool) -> None:
+        """The supervisor's word: take connections and hold a share of ceilings, or do neither."""
+        if opened:
+            self._node.engine.share(1.0)
+            await self._node.open()
+        else:
+            await self._node.shut()
+            self._node.engine.share(0.0)
+
+    def _orphaned(self) -> None:
+        """The supervisor has ended. Another one may start workers of the same numbers at any time."""
+        log("the supervisor has ended: draining")
+        self._node.engine.share(0.0)
+        self._events.put_nowait(Ask.DRAIN)
+
     # --- what the life says -----------------------------------------------------------------------------
 
     def _do(self, do: Do) -> None:
@@ -183,7 +224,7 @@
         """Take the file as it stands now, whole or not at all."""
         try:
             async with self._adopting:
-                own = read(self._path)
+                own = read_own(self._path, self._post)
                 file = overlay(own, self._settings, self._prefix()) if self._settings else own
                 lines = await self._adopt(file, f"{self._path}: ")
                 self._own = own
@@ -242,6 +283,8 @@
         self._record("reload", {"ok": not problems, "lines": problems or lines})
         if self._life.state is State.READY:
             self._notifier.ready(self._life.state.value)
+        if self._leash is not None:
+            self._leash.reloaded(problems)
         self._events.put_nowait(Reloaded())
 
     # --- what others see --------------------------------------------------------------------------------
@@ -320,16 +363,27 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
 
 
-def serve(path: Path) -> int:
-    """Run the instance that the operator file describes; the exit code tells how it ended."""
+def read_own(path: Path, post: Post | None) -> OperatorFile:
+    """The operator file, or what it says for one worker."""
+    file = read(path)
+    return file if post is None else for_worker(file, post.slot, post.side)
+
+
+def serve(path: Path, post: Post | None = None, take_over: bool = False) -> int:
+    """Run what the operator file describes, an instance or its workers; the exit code tells how it ended."""
     # A signal that comes before there is anything to act on waits: its default would end the process.
     signal.pthread_sigmask(signal.SIG_BLOCK, set(SIGNALS))
     try:
-        file = read(path)
+        file = read_own(path, post)
         deployment = deploy(file)
         fit_sockets(file)
-    except ConfigError as wrong:
-        for problem in wrong.problems:
+        if post is None and file.gateway.workers:
+            from lynxreel.workers.supervisor import supervise  # here: only where it is configured
+
+            return supervise(path, file, take_over)
+        given = activated() if post is None else {}
+    except (ConfigError, ValueError) as wrong:
+        for problem in wrong.problems if isinstance(wrong, ConfigError) else [f"LISTEN_FDS: {wrong}"]:
             log(problem)
         return BAD_CONFIG
     place = Place(file.state.folder)
@@ -343,7 +397,7 @@
         return BAD_CONFIG
 
     async def run() -> int:
-        return await Daemon(path, file, deployment, place).run()
+        return await Daemon(path, file, deployment, place, given, post).run()
 
     try:
         return uvloop.run(run())
