--- a/lynxreel/workers/supervision.py
+++ b/lynxreel/workers/supervision.py
@@ -349,7 +349,6 @@
         if not problems:
             return self._next_reload()
         # The others stay as they are: what one refuses would be refused by each, or would divide them.
-        self._round.clear()
         self.reloading, self._now_reloading = False, None
         again, self._again = self._again, False
         told = tuple(f"worker {slot}: {problem}" for problem in problems)
