--- a/lynxreel/daemon/serve.py
+++ b/lynxreel/daemon/serve.py
@@ -62,7 +62,7 @@
             from lynxreel.workers.worker import Leash, SharedDoors  # here: only under a supervisor
 
             doors = shared = SharedDoors(post, self._loop)
-            self._leash = Leash(post, shared, self._loop, self._door, self._orphaned)
+            self._leash = Leash(post, shared, self._loop, self._door, self._leaving, self._orphaned)
         self._node = Node(deployment, secrets.randbits(64), None, self._loop, doors=doors)
         if post is not None:
             shared.count = lambda: self._node.connections
@@ -75,6 +75,7 @@
         self._started_at = time.time()
         self._reloads, self._reload_problems = 0, list[str]()
         self._left = 0
+        self._address_goes = True  # when this instance ends, nobody else serves where it did
         self._quiet = 0
         self._tasks: list[asyncio.Task[None]] = []
         self._queries: asyncio.Server | None = None
@@ -176,12 +177,18 @@
     async def _door(self, opened: bool) -> None:
         """The supervisor's word: take connections and hold a share of ceilings, or do neither."""
         if opened:
+            await self._node.warm(None)  # before that every answer would be a refusal
             self._node.engine.share(1.0)
             await self._node.open()
         else:
             await self._node.shut()
             self._node.engine.share(0.0)
 
+    def _leaving(self, address_goes: bool) -> None:
+        """The supervisor's word on what a drain of this instance means to clients."""
+        self._address_goes = address_goes
+        self._node.clients.leaving = address_goes
+
     def _orphaned(self) -> None:
         """The supervisor has ended. Another one may start workers of the same numbers at any time."""
         log("the supervisor has ended: draining")
@@ -198,7 +205,8 @@
                 self._notifier.reloading()
                 self._tasks.append(self._loop.create_task(self._reload()))
             case Do.SAY_LEAVING:
-                self._node.clients.leaving = True
+                # Where others go on at this address, whoever pings is not to leave it for this one's end.
+                self._node.clients.leaving = self._address_goes
                 self._notifier.stopping(self._life.state.value)
                 if self._life.state is State.LEAVING:
                     self._record("leaving")
--- a/lynxreel/fronts/listeners.py
+++ b/lynxreel/fronts/listeners.py
@@ -189,8 +189,8 @@
         return {}  # nothing, or meant for another process
     found = {}
     for descriptor in range(FIRST_DESCRIPTOR, FIRST_DESCRIPTOR + int(count)):
-        os.set_inheritable(descriptor, False)
         own = listener(descriptor)
+        os.set_inheritable(descriptor, False)
         found[own.getsockname()[:2]] = own
     return found
 
--- a/lynxreel/standins/clients.py
+++ b/lynxreel/standins/clients.py
@@ -279,18 +279,20 @@
                 async with asyncio.timeout(CONNECT):
                     reader, writer = await asyncio.open_connection(*gate.address)
                 try:
-                    while True:
+                    answer = b"+PONG\r\n"
+                    while answer == b"+PONG\r\n":
                         writer.write(b"*1\r\n$4\r\nPING\r\n")
                         async with asyncio.timeout(CONNECT):
-                            gate.up = await reader.readline() == b"+PONG\r\n"
-                        if not gate.up:
-                            break
+                            answer = await reader.readline()
+                        if not answer:
+                            break  # an end tells nothing yet: a new connection shows at once
+                        gate.up = answer == b"+PONG\r\n"
                         await asyncio.sleep(PING_EVERY)
                 finally:
                     writer.transport.abort()
             except OSError:
                 gate.up = False
-            await asyncio.sleep(PING_EVERY)
+                await asyncio.sleep(PING_EVERY)
 
     async def ready(self, seconds: float = 60.0) -> None:
         """Wait until all gateways are taken in; a TimeoutError where they are not."""
--- a/lynxreel/workers/supervisor.py
+++ b/lynxreel/workers/supervisor.py
@@ -216,6 +216,8 @@
                 return
         elif self._peer is not None and self._giving.stage in (handover.Stage.OFFERED,):
             self._peer.say({"bye": "the running one was asked to end"})
+        if ask is Ask.DRAIN:
+            self._tell_clients(leaving=True)  # by all: a drain comes to the last one late
         self._handle(ask)
 
     def _reload_is_fine(self) -> bool:
@@ -347,6 +349,11 @@
             self._notifier.ready("ready")
         self._tell()
 
+    def _tell_clients(self, leaving: bool) -> None:
+        """Whether those that ping are to hear that this address takes no more work."""
+        for held in self._processes.values():
+            held.channel.say({"leaving": leaving})
+
     def _open(self, held: _Process) -> None:
         held.shut = False
         held.channel.say({"door": "open"})
@@ -425,6 +432,7 @@
                 case Do.LEAVE:
                     log("handover: another supervisor serves; draining")
                     self._owner = False  # the folder is the other one's
+                    self._tell_clients(leaving=False)
                     self._handle(Ask.LEAVE)
         self._arm()
 
--- a/lynxreel/workers/worker.py
+++ b/lynxreel/workers/worker.py
@@ -83,10 +83,12 @@
 
     def __init__(
         self, post: Post, doors: SharedDoors, loop: asyncio.AbstractEventLoop,
-        door: Callable[[bool], Awaitable[None]], lost: Callable[[], None],
+        door: Callable[[bool], Awaitable[None]], leaving: Callable[[bool], None], lost: Callable[[], None],
     ) -> None:  # fmt: skip
-        """`door` opens and shuts the fronts; `lost`: the supervisor has ended."""
+        """`door` opens and shuts the fronts; `leaving`: whether pings are to hear that the address goes;
+        `lost`: the supervisor has ended."""
         self._slot, self._doors, self._loop, self._door = post.slot, doors, loop, door
+        self._leaving = leaving
         self._turn = asyncio.Lock()  # doors are moved one at a time, in the order of what was told
         self._moves: set[asyncio.Task[None]] = set()
         own = socket.socket(fileno=post.channel)
@@ -97,6 +99,8 @@
             move = self._loop.create_task(self._move(message["door"] == "open"))
             self._moves.add(move)
             move.add_done_callback(self._moves.discard)
+        elif "leaving" in message:
+            self._leaving(message["leaving"])
 
     async def _move(self, opened: bool) -> None:
         async with self._turn:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -4,7 +4,7 @@
 from copy import deepcopy
 from dataclasses import dataclass, field
 
-from lynxreel.workers.handover import Act, Deed, Do, Giving, Got, Heard, Stage, Taking, Way
+from lynxreel.workers.handover import Act, Deed, Do, Giving, Got, Heard, Stage, Taking
 
 
 def does(deeds: list[Deed]) -> list[Do]:
@@ -63,7 +63,8 @@
 def test_a_new_one_whose_worker_dies_gives_up() -> None:
     taking = Taking(30.0)
     taking.handle(0.0, Got.OFFERED)
-    assert taking.handle(1.0, Got.FAILED, "worker 1 ended with 78") == [(Act.GIVE_UP, "worker 1 ended with 78")]
+    why = "worker 1 ended with 78"
+    assert taking.handle(1.0, Got.FAILED, why) == [(Act.GIVE_UP, why)]
     assert taking.handle(1.0, Got.YOURS) == []
 
 
@@ -87,7 +88,8 @@
     def key(self) -> tuple[object, ...]:
         return (
             self.giving.stage, self.taking.way, self.taking._alone, self.to_old, self.to_new, self.old_alive,
-            self.new_alive, self.old_open, self.new_open, self.shutting, self.warming, self.old_left, self.hung,
+            self.new_alive, self.old_open, self.new_open, self.shutting, self.warming, self.old_left,
+            self.hung,
         )  # fmt: skip
 
     def old_does(self, heard: Heard) -> None:
@@ -137,7 +139,8 @@
             found += ["old hears"] if self.to_old else []
             found += ["old shut"] if self.shutting else []
             found += ["old crashes"] if self.new_alive else []
-            found += ["moment"] if self.giving.stage in (Stage.SHUTTING, Stage.GIVEN) and not self.hung else []
+            waits = self.giving.stage in (Stage.SHUTTING, Stage.GIVEN)
+            found += ["moment"] if waits and not self.hung else []
         if self.new_alive:
             found += ["new hears"] if self.to_new else []
             found += ["new warm", "new fails"] if self.warming else []
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -167,13 +167,13 @@
 
 SLOTS = st.integers(0, 2)
 EVENTS = st.one_of(
-    st.sampled_from([Ask.RELOAD, Ask.DRAIN, Ask.STOP, Tick()]), st.builds(Ready, SLOTS), st.builds(Beat, SLOTS),
-    st.builds(Reloaded, SLOTS), st.builds(Ended, SLOTS, st.just("died")),
+    st.sampled_from([Ask.RELOAD, Ask.DRAIN, Ask.STOP, Tick()]), st.builds(Ready, SLOTS),
+    st.builds(Beat, SLOTS), st.builds(Reloaded, SLOTS), st.builds(Ended, SLOTS, st.just("died")),
 )  # fmt: skip
 
 
 @given(st.lists(st.tuples(st.floats(0.0, 3.0), EVENTS), max_size=60))
-def test_whatever_happens_a_stop_ends_it_and_nobody_is_started_twice(events: list[tuple[float, Event]]) -> None:
+def test_whatever_happens_a_stop_ends_it_and_none_starts_twice(events: list[tuple[float, Event]]) -> None:
     supervision = Supervision(Terms(3, quick=1.0, pause=0.1, give_up=3, watchdog=2.0))
     alive: set[int] = set()
     over = False
