--- a/bench/peers.py
+++ b/bench/peers.py
@@ -1,6 +1,7 @@
 """The cheapest peers there can be, as one process: boxes that answer at once, a counter, a list of boxes.
 
-`python -m bench.peers BOXES` prints one line of JSON with their addresses.
+`python -m bench.peers BOXES [BOX ...]` prints one line of JSON with their addresses. Its list has those other
+boxes, too.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 
 import uvloop
 
+from lynxreel.protocol.address import read_address
 from lynxreel.standins.base import Clock
 from lynxreel.standins.faults import Faults
 from lynxreel.standins.registry import Registry, entry
@@ -60,14 +62,15 @@
         return b"ok %.7g\r\n" % self.totals[name]
 
 
-async def main(count: int) -> None:
+async def main(count: int, others: list[str]) -> None:
     """Until the process is ended."""
     loop = asyncio.get_running_loop()
     servers = [await loop.create_server(Box, HOST, 0, backlog=1024) for _ in range(count)]
     counter = await loop.create_server(Counter, HOST, 0)
     registry = Registry(Faults(1), Clock(loop))
     places = [server.sockets[0].getsockname()[:2] for server in servers]
-    registry.put(*[entry(f"box-{n}", place) for n, place in enumerate(places)])
+    listed = places + [read_address(text) for text in others]
+    registry.put(*[entry(f"box-{n}", place) for n, place in enumerate(listed)])
     await registry.listener.open()
     told = {
         "boxes": [f"{host}:{port}" for host, port in places],
@@ -79,4 +82,4 @@
 
 
 if __name__ == "__main__":
-    uvloop.run(main(int(sys.argv[1])))
+    uvloop.run(main(int(sys.argv[1]), sys.argv[2:]))
--- a/bench/rig.py
+++ b/bench/rig.py
@@ -74,12 +74,13 @@
         assert process.stdout is not None
         return process, json.loads(process.stdout.readline())
 
-    def peers(self, boxes: int) -> dict[str, Any]:
-        """Boxes, a counter and a list."""
-        return self.told("bench.peers", str(boxes))[1]
+    def peers(self, boxes: int, processes: int = 1) -> dict[str, Any]:
+        """Boxes, a counter and a list; with more processes, each of the others has as many boxes."""
+        others = [self.told("bench.peers", str(boxes))[1]["boxes"] for _ in range(processes - 1)]
+        return self.told("bench.peers", str(boxes), *sum(others, []))[1]
 
     def gateway(
-        self, peers: dict[str, Any], number: int = 0, gateways: int = 1, counter: str = ""
+        self, peers: dict[str, Any], number: int = 0, gateways: int = 1, counter: str = "", workers: int = 0
     ) -> tuple[subprocess.Popen[str], str, float]:
         """A gateway that is ready: its process, its address, and the seconds from start to ready.
 
@@ -91,7 +92,8 @@
         path = folder.with_suffix(".toml")
         counter = counter or f'[counter]\naddress = "{peers["counter"]}"'
         names = {"discovery": peers["discovery"], "counter": counter}
-        path.write_text(FILE.format(number=number, gateways=gateways, listen=listen, folder=folder, **names))
+        text = FILE.format(number=number, gateways=gateways, listen=listen, folder=folder, **names)
+        path.write_text(text.replace("[state]", f"workers = {workers}\n[state]", 1))
         began = time.monotonic()
         process = self.start("lynxreel.cli.main", "serve", "--config", str(path))
         place = Place(folder)
--- a/lynxreel/daemon/control.py
+++ b/lynxreel/daemon/control.py
@@ -55,11 +55,12 @@
 def boxes(config: Path, approve: bool) -> int:
     """Print what a running instance believes of its boxes; with `approve`, first let it follow its source."""
     try:
-        place = Place(read(config).state.folder)
-        if approve:
+        places = Place(read(config).state.folder).instances()
+        for place in places if approve else ():  # each worker follows its source by itself
             held = ask(str(place.queries), "approve")
             print(f"approved: {held}" if held else "nothing was held", file=sys.stderr)
-        print(json.dumps(ask(str(place.queries), "boxes"), indent=2))
+        told = [ask(str(place.queries), "boxes") for place in places]
+        print(json.dumps(told[0] if len(told) == 1 else told, indent=2))
     except ConfigError as wrong:
         print(wrong, file=sys.stderr)
         return BAD_CONFIG
--- a/lynxreel/daemon/inspect.py
+++ b/lynxreel/daemon/inspect.py
@@ -48,13 +48,17 @@
         "window_age_ms": ((now + number * 7919 % length) % length) // 1_000, "name": f"{name:x}",
         "counter": None if answer is None else answer, "allowance": figures.burst,
     }  # fmt: skip
-    told["instances"] = {file.gateway.name: _instance(file.state.folder, number, name) for file in files}
+    told["instances"] = {}
+    for file in files:
+        here = Place(file.state.folder).instances()
+        for instance in here:
+            shown = file.gateway.name if len(here) == 1 else f"{file.gateway.name}/{instance.folder.name}"
+            told["instances"][shown] = _instance(instance, number, name)
     print(json.dumps(told, indent=2))
     return 0 if answer is not None else NO_ANSWER
 
 
-def _instance(folder: str, customer: int, name: int) -> Any:
-    place = Place(folder)
+def _instance(place: Place, customer: int, name: int) -> Any:
     if not place.held():
         return "no instance runs here"
     try:
--- a/lynxreel/daemon/place.py
+++ b/lynxreel/daemon/place.py
@@ -66,6 +66,13 @@
                 return state
         return {}
 
+    def instances(self) -> list[Place]:
+        """The folders of the instances that run here: this one, or those of its workers."""
+        workers = self.read().get("workers")
+        if not isinstance(workers, list):
+            return [self]
+        return [Place(worker["folder"]) for worker in workers if "folder" in worker]
+
     def leave(self) -> None:
         """Give the lock back."""
         if self.lock is not None:
--- a/lynxreel/local/deployment.py
+++ b/lynxreel/local/deployment.py
@@ -52,10 +52,10 @@
     def __init__(
         self, folder: Path, gateways: int, rate: float, seed: int, boxes: int = 0,
         edit: Callable[[str], str] = str, env: Mapping[str, str] | None = None, http: bool = False,
-        link: Callable[[Listener, Box], BoxLink] = Resp2Link,
+        link: Callable[[Listener, Box], BoxLink] = Resp2Link, workers: int = 0,
     ) -> None:  # fmt: skip
         """`edit` has the last word on operator files; `env` is added to the gateways' environment; `http`:
-        each gateway has an HTTP front, too; `link`: what boxes speak."""
+        each gateway has an HTTP front, too; `link`: what boxes speak; `workers`: of each gateway."""
         self._edit, self._env = edit, {**os.environ, "PYTHONUNBUFFERED": "1", **(env or {})}
         self.folder, self.count, self.rate, self.seed = folder, gateways, rate, seed
         self.plans = world.PLANS
@@ -68,7 +68,7 @@
         self.boxes: list[Box] = []
         self._box_count, self._clock = boxes or files.boxes_for(rate), clock
         self.gateways: list[Gateway] = []
-        self._http, self._link = http, link
+        self._http, self._link, self._workers = http, link, workers
         self.http_at: dict[int, tuple[str, int]] = {}  # by gateway
         self.counter_at: dict[int, tuple[str, int]] = {}  # gateways that call another counter
         self.front: Front
@@ -112,7 +112,9 @@
         places = (address, counter_at, self.registry.listener.address)
         listen, counter, discovery = (f"{host}:{port}" for host, port in places)
         path = self.folder / f"g{number}.toml"
-        text = files.operator_file(self.folder, number, self.count, listen, discovery, counter, self.plans)
+        text = files.operator_file(
+            self.folder, number, self.count, listen, discovery, counter, self.plans, self._workers
+        )
         if number in self.http_at:
             text += web.table(self.folder, self.http_at[number])
         path.write_text(self._edit(text))
--- a/lynxreel/local/files.py
+++ b/lynxreel/local/files.py
@@ -16,7 +16,7 @@
 
 def operator_file(
     folder: Path, number: int, gateways: int, listen: str, discovery: str, counter: str,
-    plans: dict[str, Quota],
+    plans: dict[str, Quota], workers: int = 0,
 ) -> str:  # fmt: skip
     """The text of one instance's file."""
     parts = [f"""\
@@ -24,6 +24,7 @@
 name = "g{number}"
 number = {number}
 gateways = {gateways}
+workers = {workers}
 listen = ["{listen}"]
 
 [state]
--- a/lynxreel/local/run.py
+++ b/lynxreel/local/run.py
@@ -36,6 +36,7 @@
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """The words of the command."""
     parser.add_argument("--gateways", type=int, default=3, help="instances, each a process of its own")
+    parser.add_argument("--workers", type=int, default=0, help="of each gateway, behind one address")
     parser.add_argument("--boxes", type=int, default=0, help="stand-in boxes; as many as the load wants")
     parser.add_argument("--http-boxes", action="store_true", help="boxes speak HTTP in place of RESP2")
     parser.add_argument("--rate", type=float, default=150.0, help="first tries of clients a second")
@@ -134,7 +135,9 @@
     steps = script(args.seed, args.seconds, args.gateways, args.kill, args.drain, args.reload)
     http = importlib.util.find_spec("jsonschema_rs") is not None  # of the extra `openapi`
     link = HttpLink if args.http_boxes else Resp2Link
-    deployment = Deployment(folder, args.gateways, args.rate, args.seed, args.boxes, http=http, link=link)
+    deployment = Deployment(
+        folder, args.gateways, args.rate, args.seed, args.boxes, http=http, link=link, workers=args.workers
+    )
     loop = asyncio.get_running_loop()
     ended = asyncio.Event()
     for number in (signal.SIGINT, signal.SIGTERM):
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import signal
 import subprocess
@@ -22,7 +23,7 @@
 
 def workers(count: int, more: str = "") -> Edit:
     """Operator files with so many workers, and so on."""
-    return lambda text: text.replace("[state]", f"workers = {count}\n\n[state]", 1) + more
+    return lambda text: text.replace("workers = 0", f"workers = {count}", 1) + more
 
 
 @contextlib.asynccontextmanager
@@ -266,6 +267,27 @@
     run(scenario)
 
 
+def test_tools_ask_every_worker(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with group(tmp_path, 2) as deployment:
+            (gateway,) = deployment.gateways
+            words = [sys.executable, "-m", "lynxreel.cli.main"]
+            config = ["--config", str(gateway.config)]
+
+            async def told_by(*more: str) -> Any:
+                process = await asyncio.create_subprocess_exec(*words, *more, stdout=subprocess.PIPE)
+                return json.loads((await process.communicate())[0])
+
+            boxes = await told_by("boxes", *config)
+            assert [len(one["boxes"]) for one in boxes] == [len(deployment.boxes)] * 2
+            status = await told_by("status", *config)
+            assert [worker["state"] for worker in status["workers"]] == ["ready", "ready"]
+            shown = await told_by("counter", "inspect", *config, "--plan", "standard", f"{77:016x}")
+            assert set(shown["instances"]) == {"g0/worker-0a", "g0/worker-1a"}
+
+    run(scenario)
+
+
 # --- rounds and ends --------------------------------------------------------------------------------------
 
 
