The number of gateways changes in service, through a joint view; lynxreel fleet tells the next step

Need: shares of ceilings follow from the number of gateways, and instances learn of a change seconds apart, or never. lynxreel/fleet decides without I/O: from 4 to 8 only through 'gateways = 8, before = 4', in which each holds half for either set; lynxreel fleet says who has not taken it yet. What was saved up goes at its beginning; limits of servers scale with the number; a customer that moved here while no total tells begins without a burst.

--- a/bench/handover.py
+++ b/bench/handover.py
@@ -35,7 +35,9 @@
         await asyncio.sleep(0.001)
 
 
-async def _play(folder: Path, count: int) -> tuple[list[float], list[float], Counter[str], dict[str, int]]:
+async def _play(
+    folder: Path, count: int
+) -> tuple[list[float], list[float], Counter[str], dict[str, int], list[str]]:
     deployment = Deployment(folder, 1, RATE, 1, workers=WORKERS)
     serving, gone, found = [], [], Counter[str]()
     try:
@@ -62,7 +64,7 @@
         await deployment.stop()
         books = deployment.ledger.report()
         found["unreachable, by the load"] = deployment.front.counts["unreachable"]
-        return serving, gone, found, {what: books[what] for what in (*BROKEN, "taken")}
+        return serving, gone, found, {what: books[what] for what in (*BROKEN, "taken")}, books["problems"]
     finally:
         for worker in deployment.gateways[0].place.read().get("workers", ()) if deployment.gateways else ():
             if "pid" in worker and deployment.gateways[0].code is None:
@@ -73,9 +75,11 @@
 def measure(rounds: int, count: str = "") -> None:
     """One run; `handover:N` for N handovers. `rounds` is not used: the handovers are the rounds."""
     with tempfile.TemporaryDirectory(prefix="lynxreel-bench-") as folder:
-        serving, gone, found, books = uvloop.run(_play(Path(folder), int(count or HANDOVERS)))
+        serving, gone, found, books, problems = uvloop.run(_play(Path(folder), int(count or HANDOVERS)))
     print(f"handover: {len(serving)}, {WORKERS} workers, {RATE:g} first tries a second, {HAMMERS} hammers")
     for what, spans in (("start to serving", serving), ("start to the old one's end", gone)):
         print(f"  {what} {median(spans):.2f} s ({min(spans):.2f} to {max(spans):.2f})")
     print(f"  connects: {dict(found)}")
     print(f"  of {books.pop('taken')} requests taken: {books}")
+    for problem in problems:
+        print(f"    {problem}")
--- /dev/null
+++ b/lynxreel/cli/fleet.py
@@ -0,0 +1,46 @@
+"""`lynxreel fleet`: what each gateway goes by while their number changes, and what may be done next."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+
+from lynxreel.config.read import ConfigError, read
+from lynxreel.daemon.place import Place
+from lynxreel.fleet.views import Step, View, advise
+
+WAIT, BAD_CONFIG = 1, 78
+
+
+def fleet(configs: list[Path], gateways: int, before: int) -> int:
+    """Print it as JSON. 0: the next step may be made; 1: not yet; 78: a file is wrong.
+
+    `gateways` and `before` are what was given out; 0 for what the first file says.
+    """
+    running: dict[str, View | None] = {}
+    try:
+        files = [read(config) for config in configs]
+    except ConfigError as wrong:
+        print(wrong, file=sys.stderr)
+        return BAD_CONFIG
+    target = View(gateways, before) if gateways else files[0].view
+    for file in files:
+        workers = max(1, file.gateway.workers)
+        for place in Place(file.state.folder).instances():
+            if place.held():  # one whose lock is free has ended, and holds nothing
+                name = file.gateway.name if workers == 1 else f"{file.gateway.name}/{place.folder.name}"
+                running[name] = _view(place, workers)
+    advice = advise(target, running)
+    views = {name: str(view) if view is not None else None for name, view in running.items()}
+    told = {"target": str(target), "running": views, "next": advice.step.value, "why": advice.text}
+    print(json.dumps(told, indent=2))
+    return WAIT if advice.step is Step.WAIT else 0
+
+
+def _view(place: Place, workers: int) -> View | None:
+    """What an instance goes by; a worker's numbers are of workers."""
+    told = place.read().get("fleet")
+    if not isinstance(told, dict):
+        return None
+    return View(told["gateways"] // workers, told["before"] // workers)
--- a/lynxreel/cli/main.py
+++ b/lynxreel/cli/main.py
@@ -95,6 +95,12 @@
     return inspect(args.config, args.plan, args.customer)
 
 
+def _fleet(args: argparse.Namespace) -> int:
+    from lynxreel.cli.fleet import fleet
+
+    return fleet(args.config, args.gateways, args.before)
+
+
 def _standin(args: argparse.Namespace) -> int:
     from lynxreel.standins.program import run
 
@@ -173,6 +179,12 @@
     inspect.add_argument("customer", help="16 hex digits, as in calls")
     inspect.set_defaults(run=_inspect)
 
+    fleet = commands.add_parser("fleet", help="while the number of gateways changes: what may be done next")
+    fleet.add_argument("--config", type=Path, action="append", required=True, metavar="FILE")
+    fleet.add_argument("--gateways", type=int, default=0, help="as given out; what the first file says")
+    fleet.add_argument("--before", type=int, default=0, help="likewise, while it changes")
+    fleet.set_defaults(run=_fleet)
+
     standin = commands.add_parser("standin", help="one stand-in as a process, with faults on demand")
     if words[:1] == ["standin"]:
         from lynxreel.standins import program
--- a/lynxreel/config/deploy.py
+++ b/lynxreel/config/deploy.py
@@ -9,6 +9,7 @@
 
 from lynxreel.config import model
 from lynxreel.config.read import ConfigError
+from lynxreel.fleet.views import problem
 from lynxreel.node import Deployment
 from lynxreel.protocol.address import Address, read_address
 from mothgap import interface as api
@@ -23,7 +24,7 @@
 
 MS = 1_000  # microseconds
 FIXED = (  # only at a start
-    "gateway.name", "gateway.number", "gateway.gateways", "gateway.workers", "supervisor", "state", "records",
+    "gateway.name", "gateway.number", "gateway.workers", "supervisor", "state", "records",
     "counter.guard", "counter.beat_ms", "boxes.file", "boxes.etcd", "boxes.most_removed",
     "boxes.removed_within_ms", "http.listen", "http.repeat_keys", "http.repeat_ms",
 )  # fmt: skip
@@ -40,12 +41,12 @@
     class_places, plan_places = (dict(before.places[0]), dict(before.places[1])) if before else ({}, {})
     classes = _placed(class_places, [(c.name, _class(c)) for c in file.classes], old.classes if old else ())
     plans = _placed(plan_places, [(p.name, _plan(p)) for p in file.plans], old.plans if old else ())
-    limits, boxes, counter = file.limits, file.boxes, file.counter
+    limits, boxes, counter, seen = file.limits, file.boxes, file.counter, file.view
     settings = api.Settings(
         classes=classes,
         plans=plans,
-        fleet_size=file.gateway.gateways,
-        index=file.gateway.number,
+        fleet_size=seen.most,
+        index=file.gateway.number % seen.most,
         limits=api.Limits(
             max_attempts=limits.max_attempts,
             second_copies=limits.second_copies,
@@ -84,6 +85,7 @@
         counter.beat_ms * MS if counter and counter.guard else 0,
         _http(file, names, settings, before) if file.http is not None else None,
         max(1, file.gateway.workers),
+        seen.part(file.gateway.number),
     )
 
 
@@ -99,7 +101,11 @@
         "gateways": gateway.gateways * gateway.workers,
     }
     folder = str(Path(file.state.folder) / f"worker-{mark}")
+    if file.fleet is not None:
+        counts = {"gateways": file.fleet.gateways, "before": file.fleet.before}
+        many = {what: count * gateway.workers for what, count in counts.items()}
     changed: dict[str, object] = {
+        "fleet": file.fleet.model_copy(update=many) if file.fleet is not None else None,
         "gateway": gateway.model_copy(update=numbers),
         "state": file.state.model_copy(update={"folder": folder}),
     }
@@ -217,10 +223,16 @@
     return [line for line in lines if not line.startswith(tuple(f"{table}." for table in tables))]
 
 
-def fixed(old: model.OperatorFile, new: model.OperatorFile) -> list[str]:
-    """What a new file changes that holds from a start only: a problem for each."""
+def fixed(old: model.OperatorFile, new: model.OperatorFile, starting: bool = False) -> list[str]:
+    """What a new file changes that holds from a start only: a problem for each.
+
+    `starting`: nothing has been taken yet, so the number of gateways may be any.
+    """
     lines = [line for line in changes(old, new) if line.partition(": ")[0].startswith(FIXED)]
-    return [f"{line}; mend: restart the instance for that, or take it back" for line in lines]
+    problems = [f"{line}; mend: restart the instance for that, or take it back" for line in lines]
+    if not starting and (wrong := problem(old.view, new.view)):
+        problems.append(f"fleet: {wrong}")
+    return problems
 
 
 def _flat(value: object, key: str = "") -> dict[str, object]:
--- a/lynxreel/config/http.py
+++ b/lynxreel/config/http.py
@@ -64,7 +64,7 @@
             window = held.burst / held.rate
             policies[names.plans[held.name]] = f'"{held.name}";q={held.burst:g};w={window:.0f}'
     serving = Serving(
-        admission, Repeats(entry.repeat_keys, entry.repeat_ms / 1e3), file.gateway.gateways,
+        admission, Repeats(entry.repeat_keys, entry.repeat_ms / 1e3), file.view.most,
         _by_place(names.classes, len(settings.classes)),
         _by_place(names.plans, len(settings.plans)), tuple(policies), digest,
         tuple(ip_network(text) for text in entry.trusted_proxies),
--- a/lynxreel/config/model.py
+++ b/lynxreel/config/model.py
@@ -7,6 +7,8 @@
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, model_validator
 
+from lynxreel.fleet.views import View
+
 
 def _address(text: str) -> str:
     host, _, port = text.rpartition(":")
@@ -47,13 +49,24 @@
 
     @model_validator(mode="after")
     def _check(self) -> Gateway:
-        if self.number >= self.gateways:
-            raise ValueError(f"number {self.number} is outside a fleet of {self.gateways}: count from 0")
         if len(set(self.listen)) < len(self.listen):
             raise ValueError("listen names an address twice: leave one out")
         return self
 
 
+class Fleet(_Table):
+    """How many gateways there are, in place of gateway.gateways: where that changes in service."""
+
+    gateways: int = Field(ge=1, le=100_000)
+    before: int = Field(default=0, ge=0, le=100_000, description="while it changes: the number so far")
+
+    @model_validator(mode="after")
+    def _check(self) -> Fleet:
+        if self.before == self.gateways:
+            raise ValueError(f"before is {self.before}, as gateways is: leave it out")
+        return self
+
+
 class Limits(_Table):
     """What an instance may hold and do."""
 
@@ -278,6 +291,14 @@
     records: Records | None = None
     http: Http | None = None
     supervisor: Supervisor = Supervisor()
+    fleet: Fleet | None = None
+
+    @property
+    def view(self) -> View:
+        """How many gateways there are."""
+        if self.fleet is None:
+            return View(self.gateway.gateways)
+        return View(self.fleet.gateways, self.fleet.before)
 
     @model_validator(mode="after")
     def _check(self) -> OperatorFile:
@@ -286,6 +307,9 @@
             for name in seen:
                 if seen.count(name) > 1:
                     raise ValueError(f"{what} has the name {name!r} twice: names must differ")
+        number, count = self.gateway.number, self.gateway.gateways
+        if self.fleet is None and number >= count:
+            raise ValueError(f"gateway.number {number} is outside a fleet of {count}: count from 0")
         longest = max(cls.deadline_ms for cls in self.classes)
         if self.drain.deadline_ms < longest:
             raise ValueError(
--- a/lynxreel/config/overlay.py
+++ b/lynxreel/config/overlay.py
@@ -12,7 +12,7 @@
 from lynxreel.config.read import ConfigError, line
 
 PREFIX = "settings/"
-TABLES, LISTS = ("limits",), ("classes", "plans")
+TABLES, LISTS = ("limits", "fleet"), ("classes", "plans")
 
 
 def overlay(file: OperatorFile, values: Mapping[str, bytes], where: str = "") -> OperatorFile:
--- a/lynxreel/daemon/serve.py
+++ b/lynxreel/daemon/serve.py
@@ -66,7 +66,7 @@
         self._node = Node(deployment, secrets.randbits(64), None, self._loop, doors=doors)
         if post is not None:
             shared.count = lambda: self._node.connections
-            self._node.engine.share(0.0)  # until its door opens: another one may hold it still
+            self._node.hold(False)  # until its door opens: another one may hold it still
         self._tally = self._node.engine.tally = Tally()
         self._writer: Writer | None = None
         if file.records is not None:
@@ -178,11 +178,11 @@
         """The supervisor's word: take connections and hold a share of ceilings, or do neither."""
         if opened:
             await self._node.warm(None)  # before that every answer would be a refusal
-            self._node.engine.share(1.0)
+            self._node.hold(True)
             await self._node.open()
         else:
             await self._node.shut()
-            self._node.engine.share(0.0)
+            self._node.hold(False)
 
     def _leaving(self, address_goes: bool) -> None:
         """The supervisor's word on what a drain of this instance means to clients."""
@@ -192,7 +192,7 @@
     def _orphaned(self) -> None:
         """The supervisor has ended. Another one may start workers of the same numbers at any time."""
         log("the supervisor has ended: draining")
-        self._node.engine.share(0.0)
+        self._node.hold(False)
         self._events.put_nowait(Ask.DRAIN)
 
     # --- what the life says -----------------------------------------------------------------------------
@@ -247,7 +247,7 @@
 
     async def _adopt(self, file: OperatorFile, where: str) -> list[str]:
         """Go by another file, whole; what changed. Raises ConfigError or OSError with nothing changed."""
-        if problems := fixed(self._file, file):
+        if problems := fixed(self._file, file, self._life.state is State.STARTING):
             raise ConfigError([f"{where}{problem}" for problem in problems])
         fit_sockets(file)
         lines = changes(self._file, file)
@@ -322,6 +322,7 @@
             "totals": dict(self._tally.totals),
             "records_missed": self._writer.missed if self._writer is not None else 0,
             "left": self._left,
+            "fleet": {"gateways": (seen := self._file.view).gateways, "before": seen.before},
         }
         if (guard := self._node.guard) is not None:
             told["counter"] = guard.told()
--- /dev/null
+++ b/lynxreel/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""How many gateways there are, while that changes."""
--- a/lynxreel/local/deployment.py
+++ b/lynxreel/local/deployment.py
@@ -106,8 +106,8 @@
             raise RuntimeError(f"a gateway ended at its start; its log is in {self.folder}")
         await waiting
 
-    def write_file(self, number: int, address: tuple[str, int]) -> Path:
-        """Write an instance's operator file; its path."""
+    def write_file(self, number: int, address: tuple[str, int], more: str = "") -> Path:
+        """Write an instance's operator file, with `more` at its end; its path."""
         counter_at = self.counter_at.get(number, self.counter.listener.address)
         places = (address, counter_at, self.registry.listener.address)
         listen, counter, discovery = (f"{host}:{port}" for host, port in places)
@@ -117,11 +117,11 @@
         )
         if number in self.http_at:
             text += web.table(self.folder, self.http_at[number])
-        path.write_text(self._edit(text))
+        path.write_text(self._edit(text) + more)
         return path
 
-    async def _launch(self, number: int, address: tuple[str, int]) -> Gateway:
-        path = self.write_file(number, address)
+    async def _launch(self, number: int, address: tuple[str, int], more: str = "") -> Gateway:
+        path = self.write_file(number, address, more)
         log = open(self.folder / f"g{number}.log", "ab")  # noqa: SIM115
         self._logs.append(log)
         words = ["-m", "lynxreel.cli.main", "serve", "--config", str(path)]
@@ -131,6 +131,15 @@
         )  # fmt: skip
         return Gateway(number, Gate(f"g{number}", address), path, Place(self.folder / f"g{number}"), process)
 
+    async def add(self, more: str) -> Gateway:
+        """Start one more instance, with `more` at the end of its file. Clients do not know of it."""
+        number = len(self.gateways)
+        with socket.create_server((HOST, 0)) as free:
+            address = free.getsockname()[:2]
+        gateway = await self._launch(number, address, more)
+        self.gateways.append(gateway)
+        return gateway
+
     async def restart(self, number: int) -> None:
         """Kill an instance and start it again at once, under its name and address."""
         gateway = self.gateways[number]
--- a/lynxreel/node.py
+++ b/lynxreel/node.py
@@ -51,6 +51,7 @@
     beat: int = 0  # microseconds between looks whether the counter is still the one that it was; 0: none
     http: HttpPlan | None = None
     workers: int = 1  # instances behind each address
+    part: float = 1.0  # of its even share of ceilings that this instance holds
 
 
 class Node:
@@ -77,6 +78,9 @@
         if deployment.http is not None:  # its connections are as many again: docs/openapi.md
             self.web = deployment.http.front(self.engine, clients // 2, loop, doors)
         self._told = False  # the engine has heard of servers
+        self._held = True  # its share, or nothing
+        if deployment.part != 1.0:
+            self.engine.share(deployment.part)
         if known is not None:  # told of an empty list, the module would take its fleet for a huge one
             self._news(*known)
         version = 0 if known is None else known[0].version
@@ -185,6 +189,11 @@
         await self.open()
         gc.freeze()  # what the start has made lives on: collections need not look at it again
 
+    def hold(self, held: bool) -> None:
+        """Hold this instance's share of ceilings from now on, or hand all of it back."""
+        self._held = held
+        self.engine.share(self.deployment.part if held else 0.0)
+
     async def warm(self, patience: float | None) -> None:
         """Wait so many seconds, or for good, for news of the servers."""
         with suppress(TimeoutError):
@@ -239,6 +248,10 @@
             settings, names = deployment.settings, deployment.names
             servers, clients = self._parts(deployment.sockets)
             self._count(deployment)
+            if deployment.part != self.deployment.part and self._held:
+                if deployment.part < self.deployment.part:
+                    self.engine.share(0.0)  # customers come to other gateways: what was saved up goes, too
+                self.engine.share(deployment.part)
             self.engine.adopt(settings)
             self.servers.adopt(settings, names.idle, servers)
             self.clients.adopt(self._terms(deployment), clients)
--- a/lynxreel/standins/clients.py
+++ b/lynxreel/standins/clients.py
@@ -261,7 +261,7 @@
             if not ask.entry.unsafe:
                 self._again(ask, 0.0)
         elif begun or ask.crossed or self.ledger.arrived(ask.number):
-            self.ledger.lose(ask.number, "its connection was closed")
+            self.ledger.lose(ask.number, "its connection was closed" + (", twice" if ask.crossed else ""))
         else:
             # A gateway may close a connection between requests; what crosses that goes out once more.
             self.ledger.crossed(ask.number)
--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -244,6 +244,7 @@
         self._longest = max(cls.aim for cls in settings.classes)
         self._credit = float(self._longest)
         self._part, self._filled, self._filled_at = 1.0, 0.0, now  # of ceilings; microseconds at a whole part
+        self._emptied, self._emptied_at = 0.0, now - NAME_LIFE  # on `_filled`, when all was handed back
         self._tokens: dict[int, tuple[int, int | None]] = {}  # timers: request, and attempt; None: its total
         self._token = 0
 
@@ -288,6 +289,9 @@
         self._usual += [0.0] * (classes - len(self._usual))
         self._patience += [(0, 0)] * (classes - len(self._patience))
         self._over += [0.0] * (plans - len(self._over))
+        # Limits of servers are this gateway's part of what all gateways hold there.
+        for limit in {id(server.limit): server.limit for server in self._servers.values()}.values():
+            limit.most *= self._s.fleet_size / settings.fleet_size
         self._s = settings
         self._dearest = max(cls.worth for cls in settings.classes)
         self._longest = max(cls.aim for cls in settings.classes)
@@ -391,7 +395,11 @@
         customer = self._customers.get(request.customer)
         if customer is None:
             customer = self._customers[request.customer] = _Customer(plan.burst, self._now)
-            # The ceiling's share starts empty at boot (`limit_at` is 0), so that no restart refills it.
+            # The ceiling's share starts empty at boot, so that no restart refills it; and where all of it has
+            # been handed back, as another gateway may have served the customer meanwhile.
+            customer.limit_at = self._emptied
+            if self._failed >= BREAKER_TRIP and self._now - self._emptied_at < NAME_LIFE:
+                customer.debt = plan.burst  # no total tells what it has used elsewhere
         elif customer.burst != plan.burst:
             customer.burst = plan.burst  # a plan's new figures hold for what is taken already, too
         self._customers.move_to_end(request.customer)
@@ -424,6 +432,8 @@
                 customer.ceiling *= part / self._part
         self._filled += self._part * (self._now - self._filled_at)
         self._part, self._filled_at = part, self._now
+        if part <= 0:
+            self._emptied, self._emptied_at = self._filled, self._now
 
     def _may_pass(self, job: _Job, plan: Plan) -> bool:
         """Rule 5, and plans that cap what is out: this gateway's own share, whatever the counter says."""
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -43,7 +43,7 @@
         ("rate = 1.2", "rte = 1.2", "plans[0].rte: unknown key; mend: write rate"),
         ("rate = 1.2", "rate = 1.2\nzzz = 1", "plans[0].zzz: unknown key; mend: remove it"),
         ("number = 0 ", "number = '0' ", "gateway.number: is '0'; mend: input should be a valid integer"),
-        ("number = 0 ", "number = 3 ", "gateway: number 3 is outside a fleet of 3; mend: count from 0"),
+        ("number = 0 ", "number = 3 ", "gateway.number 3 is outside a fleet of 3; mend: count from 0"),
         ("aim_ms = 800", "aim_ms = -1", "classes[0].aim_ms: is '-1'; mend: input should be greater than 0"),
         ("aim_ms = 800", "", "classes[0].aim_ms: missing; mend: add aim_ms"),
         ("deadline_ms = 2000", "deadline_ms = 20",
--- a/tests/test_share.py
+++ b/tests/test_share.py
@@ -1,11 +1,12 @@
 """Parts of ceilings that are handed back and taken on: never more, over all gateways, than the whole."""
 
 import random
+from dataclasses import replace
 
 from mothgap import Gateway
 from mothgap.interface import (
-    Effect, ListKind, Member, Members, Outcome, Plan, Refuse, Request, RequestClass, Result, Send, Settings,
-    Share, State,
+    Action, Count, Counted, Counter, Effect, ListKind, Member, Members, Outcome, Plan, Refuse, Request,
+    RequestClass, Result, Send, Settings, Share, State,
 )  # fmt: skip
 
 RATE, BURST, SECOND = 10.0, 20.0, 1_000_000
@@ -18,21 +19,25 @@
 class Asker:
     """A gateway, and a customer that asks it for one unit after another."""
 
-    def __init__(self, seed: int = 1) -> None:
-        self.gateway = Gateway(SETTINGS, seed, 0)
+    def __init__(self, seed: int = 1, settings: Settings = SETTINGS) -> None:
+        self.gateway = Gateway(settings, seed, 0)
         self.gateway.handle(0, Members(ListKind.FULL, 1, (Member("box-1", State.READY),)))
+        self.actions: list[Action] = []
         self._id = 0
 
-    def passes(self, now: int, spread: int = 1) -> bool:
-        """One request at this time; whether it is sent on."""
+    def ask(self, now: int, spread: int = 1, customer: int = 77) -> None:
+        """One request at this time."""
         self._id += 1
-        request = Request(self._id, 0, 0, 77, 1.0, 1_500_000, spread, 0, False)
-        actions = self.gateway.handle(now, request)
-        sent = [action for action in actions if isinstance(action, Send)]
-        assert sent or any(isinstance(action, Refuse) for action in actions)
+        request = Request(self._id, 0, 0, customer, 1.0, 1_500_000, spread, 0, False)
+        self.actions = self.gateway.handle(now, request)
+
+    def passes(self, now: int, spread: int = 1) -> bool:
+        """Whether one request at this time is sent on."""
+        self.ask(now, spread)
+        sent = [action for action in self.actions if isinstance(action, Send)]
+        assert sent or any(isinstance(action, Refuse) for action in self.actions)
         if sent:
-            outcome = Outcome(self._id, 0, "box-1", Result.OK, 1, True)
-            self.gateway.handle(now, outcome)
+            self.gateway.handle(now, Outcome(self._id, 0, "box-1", Result.OK, 1, True))
         return bool(sent)
 
     def burst(self, now: int, spread: int = 1) -> int:
@@ -90,12 +95,28 @@
 
 def test_a_new_customer_gets_nothing_from_before_a_part_was_taken_on() -> None:
     asker = Asker()
-    asker.gateway.handle(0, Share(0.0))
+    asker.gateway.handle(40 * SECOND, Share(0.0))
     asker.gateway.handle(50 * SECOND, Share(1.0))
     assert asker.burst(50 * SECOND) == 0
     assert asker.burst(51 * SECOND) == 10
 
 
+def test_a_customer_that_moved_here_while_no_total_tells_begins_with_nothing() -> None:
+    """All was handed back of late, so others may have served it; the counter is away."""
+    quota = replace(SETTINGS, plans=(Plan(rate=RATE, burst=BURST),), counter=Counter(time_limit=50_000))
+    for moved in (False, True):
+        asker = Asker(settings=quota)
+        for n in range(3):
+            asker.ask(n * SECOND, customer=5)
+            failed = [a for a in asker.actions if isinstance(a, Count)][-1]
+            asker.gateway.handle(n * SECOND + 1, Counted(failed.name, Result.CONNECT_FAILED, 1, 0.0))
+        if moved:
+            asker.gateway.handle(4 * SECOND, Share(0.0))
+            asker.gateway.handle(4 * SECOND, Share(1.0))
+        assert asker.burst(5 * SECOND) == (0 if moved else 20)
+        assert asker.burst(6 * SECOND) == 10, "and is refilled as ever"
+
+
 def test_parts_that_move_about_never_let_through_more_than_the_whole() -> None:
     for seed in range(20):
         dice = random.Random(seed)
