--- a/tests/test_new_settings.py
+++ b/tests/test_new_settings.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from mothgap import Gateway
 from mothgap.interface import (
-    Cause, Effect, Fail, ListKind, NewSettings, Plan, Refuse, RequestClass, Result, Send, Settings, State,
+    Cause, Effect, Fail, ListKind, Member, Members, NewSettings, Plan, Refuse, Request, RequestClass, Result,
+    Send, Settings, State,
 )  # fmt: skip
 from tests.helpers import (
     CEILING, CUSTOMER, MS, ONCE, PLAIN, REPEATABLE, SECOND, SETTINGS, Driver, kinds, line,
@@ -127,3 +129,17 @@
         driver.counted(3.0)
     driver.wait(10 * SECOND)
     assert all(life.over for life in driver.lives.values())
+
+
+def test_limits_of_servers_follow_the_number_of_gateways() -> None:
+    lookup = RequestClass(Effect.REPEATABLE, aim=800_000, deadline=2_000_000, worth=1.0)
+    plain = Settings(classes=(lookup,), plans=(Plan(),))
+    for gateways, room in ((1, 4), (2, 2), (4, 1)):
+        gateway = Gateway(plain, 1, 0)
+        gateway.handle(0, Members(ListKind.FULL, 1, (Member("box-1", State.READY),)))
+        gateway.handle(0, NewSettings(replace(plain, fleet_size=gateways)))
+        sent = 0
+        for number in range(1, 9):
+            actions = gateway.handle(1, Request(number, 0, 0, number, 1.0, 1_500_000, 1, 0, False))
+            sent += sum(isinstance(action, Send) for action in actions)
+        assert sent == room
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -5,8 +5,11 @@
 
 import pytest
 
+from lynxreel.config.deploy import deploy, fixed, for_worker
 from lynxreel.config.overlay import overlay
 from lynxreel.config.read import ConfigError, parse
+from lynxreel.fleet.views import View
+from lynxreel.fronts.resp2 import Call, Terms
 from lynxreel.local import files
 from lynxreel.standins import world
 
@@ -66,3 +69,28 @@
     with pytest.raises(ConfigError) as wrong:
         overlay(FILE, values(plans__standard={"rate": -1.0}, plans__basic={"rate": -2.0}))
     assert len(wrong.value.problems) == 2
+
+
+def test_the_number_of_gateways_comes_from_there_in_its_steps() -> None:
+    joint = overlay(FILE, values(fleet={"gateways": 8, "before": 2}))
+    settled = overlay(FILE, values(fleet={"gateways": 8}))
+    assert (FILE.view, joint.view, settled.view) == (View(2), View(8, 2), View(8))
+    assert fixed(FILE, joint) == fixed(joint, settled) == []
+    (problem,) = fixed(FILE, settled)
+    assert "in one step" in problem
+    assert fixed(FILE, settled, starting=True) == [], "what starts takes what it finds"
+    assert [deploy(file).part for file in (FILE, joint, settled)] == [1.0, 0.5, 1.0]
+
+
+def test_each_worker_is_an_instance_of_its_own() -> None:
+    gateway = FILE.gateway.model_copy(update={"number": 1, "workers": 4})
+    file = overlay(FILE.model_copy(update={"gateway": gateway}), values(fleet={"gateways": 2, "before": 3}))
+    own = for_worker(file, 2, "b")
+    assert (own.gateway.name, own.gateway.number, own.view) == (f"{FILE.gateway.name}-2", 6, View(8, 12))
+    assert own.state.folder == f"{FILE.state.folder}/worker-2b"
+    assert own.records is not None and own.records.file.endswith("records-2b.jsonl")
+    terms = Terms.of(deploy(own).settings, deploy(own).names, 4)
+    call = Call(None)  # type: ignore[arg-type]
+    words = [b"CALL.GET", b"%016x" % 7, b"r1", b"c=lookup,t=basic,d=100,spread=2,first=1"]
+    call.read(words, terms)
+    assert (call.spread, call.first) == (8, 4), "all workers of the two gateways"
