A choice among many servers looks at some drawn by chance; letting go gives no fresh burst

Need: what a request costs grows with the number of boxes, and a customer whose quota takes over 30 s to refill got a fresh burst after 30 s. A customer is let go of only when all of its quota and ceiling has been refilled. Connections are counted as they open and close.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -13,7 +13,7 @@
 )  # fmt: skip
 from mothgap.rules import Gateway
 
-SIZES = (10, 40, 100, 1_000)
+SIZES = (10, 40, 100, 1_000, 5_000)
 APART, ANSWER = 300, 8_000  # microseconds between requests, and until a box answers
 SETTINGS = Settings(
     classes=(RequestClass(Effect.REPEATABLE, aim=1_000_000, deadline=3_000_000, worth=1.0),),
@@ -50,7 +50,7 @@
     spent: dict[int, list[float]] = {}
     for _ in range(rounds):
         for boxes in SIZES:
-            spent.setdefault(boxes, []).append(_play(boxes, 200_000 // boxes))
+            spent.setdefault(boxes, []).append(_play(boxes, max(2_000, 200_000 // boxes)))
     print(f"decisions: CPU a request in the module alone, {rounds} rounds")
     for boxes, found in spent.items():
         ratio = median(found) / median(spent[SIZES[0]])
--- a/lynxreel/backends/pools.py
+++ b/lynxreel/backends/pools.py
@@ -224,7 +224,9 @@
 
     def forget(self, connection: Connection) -> None:
         """A connection has ended."""
-        self.all.discard(connection)
+        if connection in self.all:
+            self.all.remove(connection)
+            self.servers.open -= 1
         if connection in self.idle:
             self.idle.remove(connection)
 
@@ -244,6 +246,7 @@
         self.loop, self.wire = loop, wire
         self._engine = engine
         self.ages = Ages()
+        self.open = 0  # connections, in all pools
         self.adopt(settings, idle, most)
         self._pools: dict[str, Pool] = {}
         self._out: dict[Attempt, tuple[asyncio.TimerHandle, Connection | None]] = {}
@@ -296,7 +299,7 @@
 
     def _room(self) -> bool:
         """Guards the limit on descriptors: an idle connection elsewhere makes room."""
-        if sum(len(pool.all) for pool in self._pools.values()) + len(self._connects) < self._most:
+        if self.open + len(self._connects) < self._most:
             return True
         idle = [pool.idle[0] for pool in self._pools.values() if pool.idle]
         if idle:
@@ -325,6 +328,7 @@
             self.end(attempt, result)
         else:
             pool.all.add(connection)
+            self.open += 1
             self._write(attempt, connection, deadline - now)
 
     def _write(self, attempt: Attempt, connection: Connection, wait: int) -> None:
--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -16,7 +16,8 @@
 import math
 import random
 from collections import OrderedDict, deque
-from itertools import islice
+from collections.abc import Iterable
+from itertools import chain, islice
 
 from mothgap.interface import (
     Action, Cancel, Cause, ClockShift, Count, Counted, CountedLate, Effect, Event, Expired, Fail, Group,
@@ -65,6 +66,9 @@
 WATCH_TOKEN = 0  # the timer of that; the timers of requests count from 1
 COLD_MARGIN = 0.4  # of the allowed sends to a cold server; the rest is for chance and what others do unevenly
 SAMPLE = 8  # servers that a gateway of a large fleet keeps to; a choice costs the same in any fleet
+MANY = 64  # servers; a choice among more looks at some drawn by chance, and sums over all are kept a while
+LOOK = 24  # servers drawn: the best of two is most of what the best of all gains, and many may be unfit
+SUMS_KEPT = 20_000  # microseconds; short against any answer
 STALE = SECOND  # microseconds after which what a server last showed of its load says little
 LOAD_FIELDS = ("inflight", "util", "qps")  # fields of load reports that tell of load
 FAR = 1.3  # times the expected wait at a server of another zone: the way there costs, and is longer
@@ -87,8 +91,8 @@
     """What this gateway knows of one customer's use. `debt` is units taken and not yet refilled, over all."""
 
     __slots__ = ("at", "backlog", "burst", "ceiling", "debt", "excess", "fill", "full", "guess", "limit_at",
-                 "looks", "lost", "open", "over", "own", "owed", "seen_others", "seen_own", "short_at",
-                 "total", "window")
+                 "looks", "lost", "open", "over", "own", "owed", "rate", "seen_others", "seen_own",
+                 "short_at", "total", "window")
 
     def __init__(self, burst: float, now: int) -> None:
         self.burst, self.debt, self.at = burst, 0.0, now
@@ -101,6 +105,7 @@
         self.owed = 0.0  # units that passed without a call: to be added with the next one
         self.backlog = 0.0  # running mean of what was owed when calls were made
         self.ceiling, self.limit_at = 0.0, 0.0  # what the ceiling allows, and where on `_filled` that was
+        self.rate = 0.0  # of the quota
         self.fill, self.full = 0.0, 0.0  # what an even share of it refills a second, and holds
         self.short_at = now - NAME_LIFE  # when it was last found to have no room
         self.open = 0
@@ -245,6 +250,9 @@
         self._credit = float(self._longest)
         self._part, self._filled, self._filled_at = 1.0, 0.0, now  # of ceilings; microseconds at a whole part
         self._emptied, self._emptied_at = 0.0, now - NAME_LIFE  # on `_filled`, when all was handed back
+        self._sums, self._sums_at = (0.0, 0.0), now - SUMS_KEPT  # held and limits of all servers, and when
+        self._aside: dict[str, None] = {}  # what `_shunned` said last
+        self._aside_at = now - SUMS_KEPT
         self._tokens: dict[int, tuple[int, int | None]] = {}  # timers: request, and attempt; None: its total
         self._token = 0
 
@@ -405,7 +413,7 @@
         self._customers.move_to_end(request.customer)
         for name in list(islice(self._customers, 2)) if len(self._customers) > 64 else ():
             old = self._customers[name]
-            if old is not customer and not old.open and self._now - old.at > NAME_LIFE // 2:
+            if old is not customer and not old.open and self._as_new(old):
                 del self._customers[name]
         if plan.rate > 0:
             passed = (self._now - customer.at) / SECOND
@@ -414,10 +422,19 @@
             customer.looks, customer.over = customer.looks * fade, customer.over * fade
         customer.at = self._now
         spread = max(1, request.entry_points)
+        customer.rate = plan.rate
         customer.fill, customer.full = plan.ceiling_rate / spread, plan.ceiling_burst / spread
         self._refill(customer)
         return customer
 
+    def _as_new(self, customer: _Customer) -> bool:
+        """Long unheard of, and all refilled: letting it go gives it no fresh burst."""
+        passed = (self._now - customer.at) / SECOND
+        quota = not customer.rate or customer.debt <= customer.rate * passed
+        came = customer.ceiling + customer.fill * passed * self._part
+        ceiling = not customer.fill or customer.full * self._part <= came
+        return passed > NAME_LIFE / 2 / SECOND and quota and ceiling
+
     def _refill(self, customer: _Customer) -> None:
         """What has come to this gateway's share of the customer's ceiling since it was looked at."""
         filled = self._filled + self._part * (self._now - self._filled_at)
@@ -615,13 +632,16 @@
             self._accrue()
             spent = self._live * (max(self._usual) or METER_PATIENCE * self._longest)
             return self._credit > spent + RESERVE * rank * self._longest
-        # What one server holds beyond its limit, all of it given up perhaps, takes no room at the others.
-        old = self._now - int(GHOST_AIMS * self._longest)
-        held = limit = 0.0
-        for server in self._ready:  # written out: this and the choice are most of what a request costs
-            most, count = server.limit.most, server.held(old) if server.ghosts else len(server.out)
-            held += count if count < most else most
-            limit += most
+        held, limit = self._sums
+        if len(self._ready) <= MANY or self._now - self._sums_at >= SUMS_KEPT:
+            # What one server holds beyond its limit, all of it given up perhaps, takes no room at the others.
+            old = self._now - int(GHOST_AIMS * self._longest)
+            held = limit = 0.0
+            for server in self._ready:  # written out: this and the choice are most of what a request costs
+                most, count = server.limit.most, server.held(old) if server.ghosts else len(server.out)
+                held += count if count < most else most
+                limit += most
+            self._sums, self._sums_at = (held, limit), self._now
         return limit > 0 and held < max(1.0, limit * (1.0 - KEPT * rank))
 
     def _accrue(self) -> None:
@@ -635,14 +655,18 @@
         """The server with the least expected wait, among those that every rule allows for this attempt."""
         if not self._room():
             return None
-        old, ready = self._now - int(GHOST_AIMS * self._longest), self._near
+        old = self._now - int(GHOST_AIMS * self._longest)
         shunned, each = self._shunned(), self._pooled is None
         cold_since = self._now - self._s.safety.cold_span
         best, least = None, 0.0
         # What the expected wait goes by is written out here: this loop is most of what a request costs.
         now, mean, zone, weighted = self._now, self._mean_load, self._s.zone, self._s.weighted
         draw, exp, log, power = self._random.random, math.exp, math.log, math.pow
-        for server in ready:
+        for server in self._candidates():
+            if server is None:
+                if best is not None:
+                    break  # one of those drawn will do
+                continue
             line = server.line
             if each and (server.held(old) if server.ghosts else len(server.out)) >= server.limit.most:
                 continue
@@ -675,6 +699,14 @@
                 best, least = server, cost
         return best
 
+    def _candidates(self) -> Iterable[_Server | None]:
+        """All servers; or some drawn by chance, None, and then all, for where none of those will do."""
+        near = self._near
+        if len(near) <= MANY:
+            return near
+        draw = self._random.random
+        return chain([near[int(draw() * len(near))] for _ in range(LOOK)], (None,), near)
+
     def _fits(self, job: _Job, server: _Server) -> bool:
         """Rule 2: once an attempt may have run, a keyed request stays in its group and within its window."""
         for line, sent in job.ran:
@@ -691,17 +723,21 @@
 
     def _shunned(self) -> dict[str, None]:
         """The worst of those that are set aside, or silent for so long that they are about to be."""
+        if len(self._near) > MANY and self._now - self._aside_at < SUMS_KEPT:
+            return self._aside
         since = self._now - SILENCE * (max(self._usual) or SECOND / 10)
         suspects = [
             s for s in self._near
             if s.aside or (s.out and s.answered_at < since and next(iter(s.out.values())) < since)
         ]  # fmt: skip
+        self._aside, self._aside_at = {}, self._now
         if not suspects:
-            return {}
+            return self._aside
         suspects.sort(key=lambda s: (-s.errors, s.answered_at))
         # A refused connect proves a server down, so there is no floor under the share of those set aside.
         down = sum(s.errors >= 1.0 for s in suspects)
-        return {s.line.server: None for s in suspects[: max(down, int(ASIDE_MOST * len(self._near)))]}
+        self._aside = {s.line.server: None for s in suspects[: max(down, int(ASIDE_MOST * len(self._near)))]}
+        return self._aside
 
     def _aside_span(self) -> int:
         calls = ASIDE_CALLS * (1.0 if self._pooled is None else len(self._ready))
@@ -977,6 +1013,7 @@
         self._ready = [s for s in self._servers.values() if s.line.state is State.READY]
         # In large fleets each gateway keeps to a few servers, by its number, and so meets them often enough.
         self._near, self._warm_at = self._ready, self._now - NAME_LIFE
+        self._sums_at = self._aside_at = self._now - SUMS_KEPT
         if self._pooled is not None and len(self._ready) > SAMPLE:
             order = sorted(self._ready, key=lambda s: s.line.server)
             first = self._s.index * SAMPLE % len(order)
--- a/tests/test_large_fleets.py
+++ b/tests/test_large_fleets.py
@@ -4,8 +4,8 @@
 from dataclasses import replace
 from random import Random
 
-from mothgap.interface import Count, Counted, Effect, ListKind, Member, Result, Send, State
-from mothgap.rules import SAMPLE
+from mothgap.interface import Count, Counted, Effect, ListKind, Member, Plan, Result, Send, State
+from mothgap.rules import LOOK, SAMPLE
 from tests.helpers import (
     CEILING, CUSTOMER, KEYED, MS, ONCE, REPEATABLE, SECOND, SETTINGS, Driver, kinds, line,
 )  # fmt: skip
@@ -79,6 +79,76 @@
     assert 0 < dice.draws <= 2 * SAMPLE
 
 
+MANY_BOXES = replace(SETTINGS, counter=None, fleet_size=1, plans=(Plan(),))
+
+
+def test_a_choice_among_many_servers_looks_at_some() -> None:
+    driver = Driver(MANY_BOXES, servers=500)
+    draws = []
+    for customer in range(20):
+        before = driver.gateway._random.getstate()
+        probe = Random()
+        probe.setstate(before)
+        driver.request(customer=customer)
+        count = 0
+        while probe.getstate() != driver.gateway._random.getstate():
+            probe.random()
+            count += 1
+        draws.append(count)
+    assert 0 < max(draws) <= 3 * LOOK, "one for which server, two for its chance"
+
+
+def test_where_none_of_those_drawn_will_do_all_are_looked_at() -> None:
+    driver = Driver(MANY_BOXES, servers=200)
+    picked: Counter[str] = Counter()
+    for customer in range(4 * 200):  # four at each server, its limit
+        sent = [a for a in driver.request(customer=customer) if isinstance(a, Send)]
+        assert sent, f"{len(picked)} servers were found"
+        picked[sent[0].server] += 1
+    assert set(picked.values()) == {4}
+    driver.wait(30 * MS)  # so that sums over all are anew
+    assert kinds(driver.request(customer=999)) == ["Refuse"], "all are full"
+
+
+def test_many_servers_share_the_load_evenly() -> None:
+    driver = Driver(MANY_BOXES, servers=200)
+    picked: Counter[str] = Counter()
+    for customer in range(400):
+        picked[driver.admitted(customer=customer).server] += 1
+    assert len(picked) > 150 and max(picked.values()) <= 4
+
+
+def test_a_customer_that_is_let_go_of_gets_no_fresh_burst() -> None:
+    slow = replace(SETTINGS, counter=None, plans=(Plan(rate=0.05, burst=8.0),))
+    driver = Driver(slow)
+    taken = 0
+    while kinds(driver.request(customer=CUSTOMER))[-1] == "Send":
+        driver.finish()
+        taken += 1
+    assert taken == 4
+    driver.wait(40 * SECOND)
+    for customer in range(1000, 1100):  # long after, others push it out
+        driver.request(customer=customer)
+        driver.finish()
+    again = 0
+    while kinds(driver.request(customer=CUSTOMER))[-1] == "Send":
+        driver.finish()
+        again += 1
+    assert again <= 2, "what 40 seconds have refilled"
+
+
+def test_customers_that_are_all_refilled_are_let_go_of() -> None:
+    driver = Driver(replace(SETTINGS, counter=None))
+    for customer in range(1000, 3000):
+        driver.request(customer=customer)
+        driver.finish()
+    driver.wait(60 * SECOND)
+    for customer in range(5000, 7000):
+        driver.request(customer=customer)
+        driver.finish()
+    assert len(driver.gateway._customers) <= 2100
+
+
 def test_a_crowded_counter_is_called_for_fewer_requests_and_for_all_again_once_it_keeps_up() -> None:
     driver = Driver(FLEET, servers=40)
     crowd(driver)
