A supervisor tells a service manager of its life, as a single instance does

Need: under Type=notify with a watchdog a supervisor was silent after READY and would have been ended. It sends RELOADING, READY, STOPPING and WATCHDOG now, and READY with MAINPID when it has taken over; its workers say nothing there. The supervisor's table changes by a handover, as its page says. The test of a manager's view runs for both; it hangs without the sign of life.

--- a/lynxreel/daemon/notify.py
+++ b/lynxreel/daemon/notify.py
@@ -31,7 +31,7 @@
 
     def taken_over(self) -> None:
         """This process is the service from now on, though the manager started another one."""
-        self._send(f"MAINPID={os.getpid()}")
+        self._send(f"MAINPID={os.getpid()}\nREADY=1")
 
     def reloading(self) -> None:
         """A reload has begun; with its time, as Type=notify-reload wants it."""
--- a/lynxreel/workers/supervisor.py
+++ b/lynxreel/workers/supervisor.py
@@ -218,10 +218,13 @@
         if ask is Ask.RELOAD:
             if self._peer is not None:
                 self._peer.say({"reload": True})  # its workers may have read the file before
+            self._notifier.reloading()
             if not self._reload_is_fine():
                 return
-        elif self._peer is not None and self._giving.stage in (handover.Stage.OFFERED,):
-            self._peer.say({"bye": "the running one was asked to end"})
+        else:
+            self._notifier.stopping(ask.value)
+            if self._peer is not None and self._giving.stage is handover.Stage.OFFERED:
+                self._peer.say({"bye": "the running one was asked to end"})
         if ask is Ask.DRAIN:
             self._tell_clients(leaving=True)  # by all: a drain comes to the last one late
         self._handle(ask)
@@ -230,8 +233,7 @@
         """Guards the workers against a file that none of them could take."""
         try:
             file = read(self._path)
-            before = self._file.model_copy(update={"supervisor": file.supervisor})
-            if problems := fixed(before, file):
+            if problems := fixed(self._file, file):
                 raise ConfigError([f"{self._path}: {problem}" for problem in problems])
             if file.gateway.listen != self._file.gateway.listen:
                 mend = "hand over to a new supervisor for that (serve --take-over), or take it back"
@@ -248,6 +250,8 @@
         self._reloads, self._problems = self._reloads + 1, problems
         for line in problems or ["has gone round"]:
             log(f"reload refused, the old settings stay: {line}" if problems else f"reload: {line}")
+        if self._supervision.ending is None:
+            self._notifier.ready(self._state())
         self._tell()
 
     def _handle(self, event: supervision.Event) -> None:
@@ -553,9 +557,13 @@
     # --- what others see --------------------------------------------------------------------------------
 
     async def _tell_again(self) -> None:
+        """The state file and, where a service manager watches, a sign of life."""
+        every = min(TOLD, self._notifier.watchdog or TOLD)
         while True:
-            await asyncio.sleep(TOLD)
+            await asyncio.sleep(every)
             self._tell()
+            if self._notifier.watchdog is not None:
+                self._notifier.alive()
 
     def _state(self) -> str:
         asked = self._supervision.ending
--- a/tests/test_notify.py
+++ b/tests/test_notify.py
@@ -5,6 +5,8 @@
 import socket
 from pathlib import Path
 
+import pytest
+
 from lynxreel.daemon.notify import Notifier
 from lynxreel.daemon.place import Place, Taken
 from tests.fleet import fleet, run, told
@@ -18,7 +20,10 @@
     return own
 
 
-def test_a_managers_view_of_a_whole_life(tmp_path: Path) -> None:
+@pytest.mark.parametrize("workers", [0, 2])
+def test_a_managers_view_of_a_whole_life(tmp_path: Path, workers: int) -> None:
+    """Of one instance, or of a supervisor: what its workers say is not for the manager."""
+
     async def scenario() -> None:
         with manager(str(tmp_path / "notify")) as own:
             said: list[str] = []
@@ -31,7 +36,10 @@
                         return text
 
             env = {"NOTIFY_SOCKET": str(tmp_path / "notify"), "WATCHDOG_USEC": "200000"}
-            async with fleet(tmp_path, env=env) as deployment:
+            def edit(text: str) -> str:
+                return text.replace("workers = 0", f"workers = {workers}")
+
+            async with fleet(tmp_path, env=env, edit=edit) as deployment:
                 await hear("READY=1")
                 await hear("WATCHDOG=1")
                 await hear("WATCHDOG=1")
