A lost watch on discovery comes back by chance, with failures and the fleet's size

Discovery answers a call in time only where few are made: it then turns 150 to 185 calls a second away (503), or lets them wait 2 s for nothing, and not one gateway of 40 hears of any of the 60 servers that come and go until the end. Of 9,000 attempts 2,134 went to servers that were gone.

Ruled out: an outage of discovery (with longer waits all 40 gateways hear of every change from 6 to 12 s on), the version asked for, and the agent's heartbeat. Doubling from 0.2 s to 4 s is not enough (23 of 40 heard something), to 8 s neither.

The waits are drawn by chance, grow with failures in a row, and with the number of instances, so that a fleet of any size makes some 20 calls a second at first and 5 later; a fleet of up to four waits as before.

--- a/lynxreel/node.py
+++ b/lynxreel/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import random
 import secrets
 from contextlib import suppress
 from dataclasses import dataclass
@@ -16,6 +17,7 @@
 from lynxreel.fronts.listeners import Doors, OwnDoors
 from lynxreel.fronts.resp2 import Clients, Terms
 from lynxreel.protocol.address import Address
+from lynxreel.sources.backoff import Backoff
 from lynxreel.sources.platform import NOWHERE, Discovery
 from mothgap.interface import ClockShift, ListKind, Member, Members, Settings, State
 from mothgap.settings import Names
@@ -63,6 +65,7 @@
     ) -> None:  # fmt: skip
         """`doors`: where the fronts' listeners come from; they open them by themselves by default."""
         self.deployment, self._loop = deployment, loop
+        self._backoff = Backoff(deployment.settings.fleet_size, random.Random(seed))
         self.engine = Engine(deployment.settings, seed, loop, clock)
         servers, clients = self._parts(deployment.sockets)
         settings, names = deployment.settings, deployment.names
@@ -105,7 +108,7 @@
         self, place: Address | FileList | EtcdList, version: int
     ) -> Discovery | WatchedFile | EtcdSource:
         if isinstance(place, tuple):
-            return Discovery(place, version, self.deployment.names, self._news, self._loop)
+            return Discovery(place, version, self.deployment.names, self._news, self._loop, self._backoff)
         return place.source(self._published, self._loop)
 
     def _published(self, news: Publish) -> None:
@@ -258,7 +261,7 @@
             if self.web is not None and deployment.http is not None:
                 self.web.adopt(deployment.http.serving)
             if isinstance(self.source, Discovery) and isinstance(deployment.discovery, tuple):
-                self.source.adopt(names)
+                self.source.adopt(names, settings.fleet_size)
                 self.source.move(deployment.discovery)
             self.deployment = deployment
             gone = [address for address in before if address not in deployment.listen]
--- a/lynxreel/sources/platform.py
+++ b/lynxreel/sources/platform.py
@@ -12,12 +12,12 @@
 
 from lynxreel.log import log
 from lynxreel.protocol.address import Address, read_address
+from lynxreel.sources.backoff import Backoff
 from mothgap.interface import ListKind, Member, Members, State
 from mothgap.settings import Names
 
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 SILENT = 5.0  # seconds: over two of the watch's heartbeats
-RETRY = 0.2  # seconds between watches
 MOST_LINE = 4 * 1024 * 1024  # bytes of one line; more is no list
 NOWHERE: Address = ("", 0)
 UNREADABLE = (ArithmeticError, AttributeError, KeyError, TypeError, ValueError)  # what odd JSON leads to
@@ -142,23 +142,27 @@
         names: Names,
         news: News,
         loop: asyncio.AbstractEventLoop,
+        backoff: Backoff,
     ) -> None:
         self.loop = loop
+        self._backoff = backoff
         self.version = version
         self.told = asyncio.Event()  # something has been heard since the start
         self.address, self._names, self._news = address, names, news
         self._watch: _Watch | None = None
         self._task = loop.create_task(self._keep())
 
-    def adopt(self, names: Names) -> None:
-        """Read kinds and zones by these names from now on."""
+    def adopt(self, names: Names, fleet: int) -> None:
+        """Read kinds and zones by these names from now on; the fleet has so many instances."""
         self._names = names
+        self._backoff.adopt(fleet)
 
     def move(self, address: Address) -> None:
         """Watch at another address, from the version at hand. The old watch tells on until that one is up."""
         if address == self.address:
             return
         self.address = address
+        self._backoff.worked()  # nothing has failed there
         self._task.cancel()
         self._task = self.loop.create_task(self._keep())
 
@@ -169,6 +173,7 @@
         if lines or members.kind is ListKind.FULL:
             self._news(members, lines)
         self.told.set()
+        self._backoff.worked()
 
     async def _keep(self) -> None:
         while True:
@@ -182,7 +187,7 @@
                 await watch.ended
             except OSError:  # a time-out is one, too
                 watch.drop()
-            await asyncio.sleep(RETRY)
+            await asyncio.sleep(self._backoff.wait())
 
     def close(self) -> None:
         """The end of the process."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -9,6 +10,7 @@
 
 from lynxreel.sources import platform as module
 from lynxreel.protocol.address import Address
+from lynxreel.sources.backoff import Backoff
 from lynxreel.sources.platform import Discovery
 from mothgap.interface import ListKind, Member, Members, State
 from tests.net import LOCAL, NAMES, Peer, run
@@ -35,7 +37,8 @@
         told: Told = asyncio.Queue()
         async with Peer() as peer:
             loop = asyncio.get_running_loop()
-            watch = Discovery((LOCAL, peer.port), 41, NAMES, lambda *news: told.put_nowait(news), loop)
+            place, backoff = (LOCAL, peer.port), Backoff(1, random.Random(7))
+            watch = Discovery(place, 41, NAMES, lambda *news: told.put_nowait(news), loop, backoff)
             await scenario(peer, told, watch)
             watch.close()
 
@@ -149,9 +152,7 @@
     play(scenario)
 
 
-def test_until_the_new_address_answers_the_old_watch_tells_on(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(module, "RETRY", 0.01)
-
+def test_until_the_new_address_answers_the_old_watch_tells_on() -> None:
     async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
         await peer.answer(HEAD + chunk(line(77)))
         await told.get()
@@ -162,3 +163,28 @@
         assert b"from=78 " in await peer.answer(HEAD)
 
     play(scenario)
+
+
+def test_one_that_turns_calls_away_is_called_less_and_less_until_it_answers(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    waits: list[float] = []
+
+    async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
+        for _ in range(4):
+            await peer.answer(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+            assert (await peer.hear())[1] == b""
+        await peer.answer(HEAD + chunk(line(42)))
+        await told.get()
+        peer.writers[-1].transport.abort()
+        assert (await peer.hear())[1] == b""
+        await peer.hear()
+
+    def wait(self: Backoff, drawn: Callable[[Backoff], float] = Backoff.wait) -> float:
+        waits.append(drawn(self))
+        return 0.0
+
+    monkeypatch.setattr(Backoff, "wait", wait)
+    play(scenario)
+    assert waits[3] > 2 * waits[0]
+    assert waits[4] < waits[3] / 2  # it had answered
