Gateways lend each other what they have saved up of a ceiling, by short messages

A customer's requests come through 12 to 14 gateways, and each held an even part of its ceiling (rules.py, _may_pass and _refill): 1.6 units a second, four at most, none at the start. What busy gateways lacked idle ones let run over.

mothgap/lending.py: a gateway whose part is used up asks two others of the customer's set while the total is on its way; the giver takes the units off before it tells, the asker takes them once, from whom it asked, within 100 ms, or is told that there is nothing and refuses at once. Lost messages lose units and never make any; a slack smaller than what is refilled in those 100 ms is held back.

Twelve modules against one ledger keep the ceiling with messages late, lost and doubled and with gateways that die; of 33 guards taken out all but one are caught; that one (a higher bound while requests wait) changes nothing for 100 ms.

Also: tests write their files to memory where there is such a place.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 PYTHON ?= python3
 VENV ?= .venv-dev
 BIN := $(VENV)/bin
+# Tests write many small files; on a slow disk each rename holds a process up for longer than what they measure.
+FILES := $(shell test -w /dev/shm && echo /dev/shm || echo $${TMPDIR:-/tmp})
 
 .PHONY: local test lint platform protos bench schema clean
 
@@ -17,7 +19,7 @@
 	$(BIN)/lynxreel local $(ARGS)
 
 test: lint platform
-	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m pytest -p no:cacheprovider $(ARGS)
+	TMPDIR="$(FILES)" PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m pytest -p no:cacheprovider $(ARGS)
 
 lint: $(VENV)/.made
 	$(BIN)/ruff check mothgap lynxreel tests bench
--- a/lynxreel/__main__.py
+++ b/lynxreel/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import json
 import os
 import signal
@@ -12,7 +13,7 @@
 import uvloop
 
 from lynxreel.log import log
-from lynxreel.node import Deployment, Node
+from lynxreel.node import Deployment, Node, PeerPlan
 from lynxreel.protocol.address import read_address
 from lynxreel.sources.platform import read_list
 from mothgap.interface import ListKind
@@ -34,7 +35,15 @@
     counter = None if settings.counter is None else read_address(config["counter"])
     discovery, listen = read_address(config["discovery"]), read_address(config["listen"])
     sockets = int(config["limits"]["sockets"])
-    return Deployment(settings, read_names(config["settings"]), (listen,), discovery, counter, sockets)
+    peers = None
+    if settings.limits.peers and "peers" in config and "peer_listen" in config:
+        addresses = tuple(read_address(address) for address in config["peers"])
+        peers = PeerPlan(read_address(config["peer_listen"]), addresses)
+    else:  # what is asked of others would wait for answers that can't come
+        limits = dataclasses.replace(settings.limits, peers=False)
+        settings = dataclasses.replace(settings, limits=limits)
+    names = read_names(config["settings"])
+    return Deployment(settings, names, (listen,), discovery, counter, sockets, peers=peers)
 
 
 def move(node: Node) -> None:
--- a/lynxreel/engine/engine.py
+++ b/lynxreel/engine/engine.py
@@ -77,6 +77,13 @@
         """Add; exactly one `Counted` event follows."""
 
 
+class Peers(Protocol):
+    """Where messages to other gateways go."""
+
+    def tell(self, to: int | None, data: bytes) -> None:
+        """Send to one gateway by its number, or to all others."""
+
+
 @dataclass(slots=True, eq=False)
 class Attempt:
     """One sending of a request to a server."""
@@ -127,6 +134,7 @@
         self.backend: Backend
         self.counter: Counter
         self.tally: Tally | None = None
+        self.peers: Peers | None = None
         self._settings = settings
         self._loop = loop
         self._module = Gateway(settings, seed, self.clock.now())
@@ -263,6 +271,9 @@
                 attempt = self._out.get((action.request, action.attempt))
                 if attempt is not None:
                     self.backend.cancel(attempt)
+            case api.Tell():
+                if self.peers is not None:
+                    self.peers.tell(action.to, action.data)
             case api.Watch():
                 pass  # discovery is watched from the start, and for good
             case _:
--- a/lynxreel/node.py
+++ b/lynxreel/node.py
@@ -16,6 +16,7 @@
 from lynxreel.engine.engine import Clock, Engine
 from lynxreel.fronts.listeners import Doors, OwnDoors
 from lynxreel.fronts.resp2 import Clients, Terms
+from lynxreel.peers.datagrams import Peers
 from lynxreel.protocol.address import Address
 from lynxreel.sources.backoff import Backoff
 from lynxreel.sources.platform import NOWHERE, Discovery
@@ -38,6 +39,14 @@
 Known = tuple[Members, list[tuple[Member, Address]]]
 
 
+@dataclass(frozen=True)
+class PeerPlan:
+    """Where this gateway hears the others, and where each of them does, by number; its own among them."""
+
+    listen: Address
+    addresses: tuple[Address, ...]
+
+
 @dataclass(frozen=True)
 class Deployment:
     """What a gateway goes by. `names` has the places of classes and plans in `settings`."""
@@ -54,6 +63,7 @@
     http: HttpPlan | None = None
     workers: int = 1  # instances behind each address
     part: float = 1.0  # of its even share of ceilings that this instance holds
+    peers: PeerPlan | None = None  # where `settings.limits.peers` allows messages between gateways
 
 
 class Node:
@@ -80,6 +90,10 @@
         self.web: Web | None = None
         if deployment.http is not None:  # its connections are as many again: docs/openapi.md
             self.web = deployment.http.front(self.engine, clients // 2, loop, doors)
+        self.peers: Peers | None = None
+        if deployment.peers is not None:
+            addresses, index = deployment.peers.addresses, settings.index
+            self.peers = self.engine.peers = Peers(addresses, index, self.engine.post, loop)
         self._told = False  # the engine has heard of servers
         self._held = True  # its share, or nothing
         if deployment.part != 1.0:
@@ -188,6 +202,8 @@
 
         Raises an OSError where an address is taken.
         """
+        if self.peers is not None and self.deployment.peers is not None:
+            await self.peers.open(self.deployment.peers.listen)
         await self.warm(patience)
         await self.open()
         gc.freeze()  # what the start has made lives on: collections need not look at it again
@@ -308,5 +324,7 @@
             self.web.close()
         if self.guard is not None:
             self.guard.close()
+        if self.peers is not None:
+            self.peers.close()
         if self.counter is not None:
             self.counter.close()
--- /dev/null
+++ b/lynxreel/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the gateways of a fleet."""
--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -21,9 +21,10 @@
 
 from mothgap.interface import (
     Action, Cancel, Cause, ClockShift, Count, Counted, CountedLate, Effect, Event, Expired, Fail, Group,
-    ListKind, Member, Members, NewSettings, Outcome, Plan, Refuse, Request, RequestClass, Result, Send,
-    SetTimer, Settings, Share, State, Timer, Watch,
+    ListKind, Member, Members, NewSettings, Outcome, PeerMessage, Plan, Refuse, Request, RequestClass, Result,
+    Send, SetTimer, Settings, Share, State, Tell, Timer, Watch,
 )  # fmt: skip
+from mothgap.lending import LIFE, Ask, Give, Questions, held_back, in_set, read, write
 
 SECOND = 1_000_000  # microseconds
 NAME_LIFE = 60 * SECOND  # microseconds; the longest that the counter keeps a name
@@ -63,6 +64,11 @@
 KEPT = 0.3  # of all limits, what is left for others by those who are refused first
 GHOST_AIMS = 2.0  # aims after which a server that never answered is taken to have dropped an attempt given up
 WATCH_AGAIN = 10  # the part of the asking span after which a failed call to the list is made again
+ASK_MOST = 4  # gateways asked for a part of the ceiling by one request: each keeps it waiting a little more
+ASK_FIRST = 2  # of them, at once: one may be lost, or have nothing
+ASK_LOW = 1.0  # largest requests; a part of the ceiling that is smaller is added to before it is wanted
+GIVE_BUSY = SECOND  # microseconds since the customer was here in which half of its part is kept for it
+WAIT_OVER = -1  # in place of an attempt: the timer of a request that waits for a part of the ceiling
 WATCH_TOKEN = 0  # the timer of that; the timers of requests count from 1
 COLD_MARGIN = 0.4  # of the allowed sends to a cold server; the rest is for chance and what others do unevenly
 SAMPLE = 8  # servers that a gateway of a large fleet keeps to; a choice costs the same in any fleet
@@ -90,9 +96,9 @@
 class _Customer:
     """What this gateway knows of one customer's use. `debt` is units taken and not yet refilled, over all."""
 
-    __slots__ = ("at", "backlog", "burst", "ceiling", "debt", "excess", "fill", "full", "guess", "limit_at",
-                 "looks", "lost", "open", "over", "own", "owed", "rate", "seen_others", "seen_own",
-                 "short_at", "total", "window")
+    __slots__ = ("at", "backlog", "burst", "ceiling", "debt", "excess", "fill", "full", "guess",
+                 "here_at", "limit_at", "looks", "lost", "open", "over", "own", "owed", "rate",
+                 "seen_others", "seen_own", "short_at", "total", "waits", "window")
 
     def __init__(self, burst: float, now: int) -> None:
         self.burst, self.debt, self.at = burst, 0.0, now
@@ -107,8 +113,10 @@
         self.ceiling, self.limit_at = 0.0, 0.0  # what the ceiling allows, and where on `_filled` that was
         self.rate = 0.0  # of the quota
         self.fill, self.full = 0.0, 0.0  # what an even share of it refills a second, and holds
+        self.here_at = now - NAME_LIFE  # when a request of it last came here
         self.short_at = now - NAME_LIFE  # when it was last found to have no room
         self.open = 0
+        self.waits: list[_Job] = []  # requests that wait for a part of the ceiling from other gateways
 
     def take(self, units: float) -> None:
         """The use of others, or what they have taken back: first of what was on top of the burst.
@@ -200,7 +208,7 @@
 class _Job:
     """A request that is owed its final answer."""
 
-    __slots__ = ("added", "aim_at", "attempts", "cls", "customer", "deadline", "held", "live", "ran",
+    __slots__ = ("added", "aim_at", "asks", "attempts", "cls", "customer", "deadline", "held", "live", "ran",
                  "request")
 
     def __init__(self, request: Request, cls: RequestClass, customer: _Customer, now: int) -> None:
@@ -211,6 +219,7 @@
         self.ran: list[tuple[Member, int]] = []  # attempts that may have run: where and when sent
         self.held = True  # waiting for its total
         self.added = 0.0  # what was added to the count for it
+        self.asks = 0  # gateways asked for a part of the ceiling
 
 
 class Gateway:
@@ -253,6 +262,7 @@
         self._sums, self._sums_at = (0.0, 0.0), now - SUMS_KEPT  # held and limits of all servers, and when
         self._aside: dict[str, None] = {}  # what `_shunned` said last
         self._aside_at = now - SUMS_KEPT
+        self._questions = Questions(settings.index, self._random)
         self._tokens: dict[int, tuple[int, int | None]] = {}  # timers: request, and attempt; None: its total
         self._token = 0
 
@@ -275,6 +285,8 @@
                 self._on_members(event)
             case Expired():
                 self._on_expired(event)
+            case PeerMessage():
+                self._on_peer(event)
             case ClockShift():
                 self._shift = event.offset
             case Share():
@@ -308,28 +320,35 @@
 
     def _on_request(self, request: Request) -> None:
         plan, cls = self._s.plans[request.plan], self._s.classes[request.cls]
-        customer = self._customer(request, plan)
+        customer = self._customer(request.customer, plan, request.entry_points)
         job = self._jobs[request.id] = _Job(request, cls, customer, self._now)
         job.aim_at -= self._spent(request, cls)
+        customer.here_at = self._now
         self._retries = min(RETRY_SAVED, self._retries + RETRY_SHARE)
-        patience = min(int(cls.aim * METER_PATIENCE), request.time_left // 2)
         doubt = (customer.over + self._over[request.plan]) / (customer.looks + 1.0)
         # Letting a request through uncounted earns its worth, or costs what going beyond the quota costs.
         hot = doubt * (1.0 + plan.beyond_cost - plan.beyond_worth) >= 1.0
-        hopeless = min(patience, job.aim_at - self._now) <= self._s.tick
+        hopeless = min(self._patience_of(job), job.aim_at - self._now) <= self._s.tick
         if hopeless:
             self._end(job, Cause.NO_TIME)  # also what comes with no time left for a call and an answer
-        elif not self._may_pass(job, plan):
+        elif not self._may_pass(job, plan) and not self._may_borrow(job, plan):
             self._end(job, Cause.CEILING)
         elif not self._room(self._rank(job, plan, hot)):
             self._end(job, Cause.ROOM)
-        elif plan.rate <= 0:
-            self._try(job)
-        elif self._s.counter is None:
-            self._decide_alone(job, plan)
-        elif self._no_room(job, plan):
+        elif plan.rate > 0 and self._s.counter is not None and self._no_room(job, plan):
             # Known to have no room: its add would only be taken back, and repeats would swamp the counter.
             self._end(job, Cause.QUOTA)
+        else:
+            self._meter(job, plan, hot, doubt)
+
+    def _meter(self, job: _Job, plan: Plan, hot: bool, doubt: float) -> None:
+        """Ask for the total, or decide without it."""
+        request, customer = job.request, job.customer
+        if plan.rate <= 0:
+            self._borrow(job, plan)
+            self._pass(job, plan)
+        elif self._s.counter is None:
+            self._decide_alone(job, plan)
         elif self._failed >= BREAKER_TRIP:
             if self._now >= self._trial_at:
                 self._trial_at = self._now + TRIAL_EVERY * self._s.counter.time_limit
@@ -347,6 +366,8 @@
                 # In a large fleet a customer may not come here again: this stands for those that pass.
                 job.added = request.units if hot or self._pooled is None else request.units / share
                 self._count(job, plan, request.id, job.added)
+                self._borrow(job, plan)
+                patience = self._patience_of(job)
                 if self._s.counter.time_limit > patience:
                     self._set_timer(patience, request.id, None)
             elif hot:
@@ -354,6 +375,11 @@
             else:
                 self._decide_alone(job, plan)
 
+    @staticmethod
+    def _patience_of(job: _Job) -> int:
+        """How long a request may wait for its total."""
+        return min(int(job.cls.aim * METER_PATIENCE), job.request.time_left // 2)
+
     def _no_room(self, job: _Job, plan: Plan) -> bool:
         """Known before any call. What may just fit is for a total to say, as long as the counter keeps up."""
         if self._calling >= 1.0:
@@ -398,11 +424,11 @@
         crowded = self._calling < 1.0 or (self._pooled is not None and self._credit < self._longest / 2)
         return cls.deadline - request.time_left if later and crowded and cls.late_worth < 0.5 else 0
 
-    def _customer(self, request: Request, plan: Plan) -> _Customer:
+    def _customer(self, number: int, plan: Plan, entry_points: int) -> _Customer:
         """The customer's state, moved on to now. Customers long unheard of are dropped."""
-        customer = self._customers.get(request.customer)
+        customer = self._customers.get(number)
         if customer is None:
-            customer = self._customers[request.customer] = _Customer(plan.burst, self._now)
+            customer = self._customers[number] = _Customer(plan.burst, self._now)
             # The ceiling's share starts empty at boot, so that no restart refills it; and where all of it has
             # been handed back, as another gateway may have served the customer meanwhile.
             customer.limit_at = self._emptied
@@ -410,10 +436,10 @@
                 customer.debt = plan.burst  # no total tells what it has used elsewhere
         elif customer.burst != plan.burst:
             customer.burst = plan.burst  # a plan's new figures hold for what is taken already, too
-        self._customers.move_to_end(request.customer)
+        self._customers.move_to_end(number)
         for name in list(islice(self._customers, 2)) if len(self._customers) > 64 else ():
             old = self._customers[name]
-            if old is not customer and not old.open and self._as_new(old):
+            if old is not customer and not old.open and not old.waits and self._as_new(old):
                 del self._customers[name]
         if plan.rate > 0:
             passed = (self._now - customer.at) / SECOND
@@ -421,9 +447,10 @@
             fade = math.exp(-passed * plan.rate / plan.burst / LOOK_WINDOWS)
             customer.looks, customer.over = customer.looks * fade, customer.over * fade
         customer.at = self._now
-        spread = max(1, request.entry_points)
+        spread = max(1, entry_points)
         customer.rate = plan.rate
-        customer.fill, customer.full = plan.ceiling_rate / spread, plan.ceiling_burst / spread
+        full = plan.ceiling_burst - (held_back(plan) if self._s.limits.peers else 0.0)
+        customer.fill, customer.full = plan.ceiling_rate / spread, max(0.0, full) / spread
         self._refill(customer)
         return customer
 
@@ -431,15 +458,18 @@
         """Long unheard of, and all refilled: letting it go gives it no fresh burst."""
         passed = (self._now - customer.at) / SECOND
         quota = not customer.rate or customer.debt <= customer.rate * passed
-        came = customer.ceiling + customer.fill * passed * self._part
-        ceiling = not customer.fill or customer.full * self._part <= came
+        self._refill(customer)  # a part may have been lent since
+        ceiling = not customer.fill or customer.full * self._part <= customer.ceiling
         return passed > NAME_LIFE / 2 / SECOND and quota and ceiling
 
     def _refill(self, customer: _Customer) -> None:
         """What has come to this gateway's share of the customer's ceiling since it was looked at."""
         filled = self._filled + self._part * (self._now - self._filled_at)
         more = customer.fill * (filled - customer.limit_at) / SECOND
-        customer.ceiling, customer.limit_at = min(customer.full * self._part, customer.ceiling + more), filled
+        most = customer.full * self._part
+        if customer.waits:  # what has been borrowed for them may be more than is ever saved up here
+            most = max(most, customer.ceiling)
+        customer.ceiling, customer.limit_at = min(most, customer.ceiling + more), filled
 
     def _on_share(self, part: float) -> None:
         """Guards the sum of the shares: what is handed back goes with what had been saved up in it."""
@@ -452,13 +482,6 @@
         if part <= 0:
             self._emptied, self._emptied_at = self._filled, self._now
 
-    def _may_pass(self, job: _Job, plan: Plan) -> bool:
-        """Rule 5, and plans that cap what is out: this gateway's own share, whatever the counter says."""
-        spread = max(1, job.request.entry_points)
-        if plan.concurrency and job.customer.open >= -(-plan.concurrency // spread):
-            return False
-        return plan.ceiling_rate <= 0 or job.customer.ceiling >= job.request.units
-
     def _enter_window(self, job: _Job, plan: Plan) -> tuple[int, int]:
         """The name of the customer's count now, and its window's length; a new window starts from nothing."""
         number, length = window(job.request.customer, plan, self._now + self._shift)
@@ -504,11 +527,11 @@
         customer.looks += 1.0
         customer.over += over
         self._over[job.request.plan] += PACE_SMOOTH * (over - self._over[job.request.plan])
-        if not over and self._may_pass(job, plan):
-            customer.debt += job.request.units
-            self._try(job)
+        if over:
+            self._end(job, Cause.QUOTA)
         else:
-            self._end(job, Cause.QUOTA if over else Cause.CEILING)
+            customer.debt += job.request.units
+            self._pass(job, plan)
 
     def _take_total(self, customer: _Customer, name: int, amount: float, total: float) -> float:
         """What a total tells of the others' use, beyond what has been guessed of it."""
@@ -603,16 +626,118 @@
             others = cost * customer.others(job.request.entry_points)
         cost += others
         # One request may cost more than the burst where many gateways share it: it waits for an empty debt.
-        if self._within(job, plan, cost) and self._may_pass(job, plan):
+        if self._within(job, plan, cost) and (self._may_pass(job, plan) or self._may_borrow(job, plan)):
+            self._borrow(job, plan)
             self._enter_window(job, plan)
             customer.debt += cost
             customer.guess += others
             if not job.added and self._pooled is None and self._failed < BREAKER_TRIP:
                 customer.owed, job.added = customer.owed + job.request.units, job.request.units
-            self._try(job)
+            self._pass(job, plan)
         else:
             self._end(job, Cause.QUOTA)
 
+    # --- ceilings ---------------------------------------------------------------------------------------
+
+    def _may_pass(self, job: _Job, plan: Plan) -> bool:
+        """Rule 5, and plans that cap what is out: this gateway's own share, whatever the counter says."""
+        return self._may_open(job, plan) and (
+            plan.ceiling_rate <= 0 or job.customer.ceiling >= job.request.units)
+
+    def _may_open(self, job: _Job, plan: Plan) -> bool:
+        spread = max(1, job.request.entry_points)
+        return not plan.concurrency or job.customer.open < -(-plan.concurrency // spread)
+
+    def _may_borrow(self, job: _Job, plan: Plan) -> bool:
+        """Other gateways may have saved up what is missing here."""
+        lends = self._s.limits.peers and plan.ceiling_rate > 0 and self._part > 0
+        return lends and job.request.entry_points > 1 and self._may_open(job, plan)
+
+    def _pass(self, job: _Job, plan: Plan) -> None:
+        """The quota allows it, and it is in the debt; it goes on as soon as the ceiling allows it, too.
+
+        It waits no longer than for a total, and only while questions are out that may bring what is missing.
+        """
+        customer, job.held = job.customer, False
+        self._refill(customer)
+        if self._may_pass(job, plan):
+            self._try(job)
+            low = customer.ceiling < ASK_LOW * self._s.units_top
+            if low and self._may_borrow(job, plan) and not self._hopes(job):
+                self._ask(job, plan, 1)  # for the next one
+        elif self._may_borrow(job, plan) and self._hopes(job):
+            customer.waits.append(job)
+            self._set_timer(min(LIFE, self._patience_of(job)), job.request.id, WAIT_OVER)
+        else:
+            self._end(job, Cause.CEILING)
+
+    def _borrow(self, job: _Job, plan: Plan) -> None:
+        """Ask for what is missing at once, while the total is on its way."""
+        if job.customer.ceiling < job.request.units and self._may_borrow(job, plan):
+            self._ask(job, plan, ASK_FIRST)
+
+    def _hopes(self, job: _Job) -> bool:
+        """Questions are out for its customer."""
+        return self._questions.out(job.request.customer, self._now) > 0
+
+    def _ask(self, job: _Job, plan: Plan, gateways: int) -> None:
+        request, customer = job.request, job.customer
+        full = customer.full * self._part
+        wanted = max(request.units - customer.ceiling, (full - customer.ceiling) / gateways)
+        ask = Ask(request.customer, 0, wanted, request.plan, request.entry_points, request.first_entry)
+        for _ in range(min(gateways, ASK_MOST - job.asks)):
+            tell = self._questions.ask(ask, self._s.fleet_size, self._now)
+            if tell is not None:
+                job.asks += 1
+                self._out.append(tell)
+
+    def _on_peer(self, event: PeerMessage) -> None:
+        """A question for a part of a ceiling, or the answer to one; anything else is dropped."""
+        message = read(event.data)
+        if isinstance(message, Ask):
+            self._lend(message, event.sender)
+        elif isinstance(message, Give):
+            units = self._questions.answered(message, event.sender, self._now)
+            customer = self._customers.get(message.customer)
+            if units is not None and customer is not None:
+                self._refill(customer)
+                customer.ceiling += units
+                self._go_on(customer)
+                self._refill(customer)  # what nobody waits for is saved up within this gateway's part
+
+    def _lend(self, ask: Ask, sender: int) -> None:
+        """What is taken off here counts for the sender. Nothing is lent to or by a gateway without a part."""
+        fleet = self._s.fleet_size
+        known = ask.plan < len(self._s.plans) and 1 < ask.spread <= fleet and sender != self._s.index
+        if not known or not all(in_set(n, ask.first, ask.spread, fleet) for n in (sender, self._s.index)):
+            return
+        plan = self._s.plans[ask.plan]
+        customer = self._customers.get(ask.customer)
+        if customer is None and plan.ceiling_rate > 0:
+            customer = self._customer(ask.customer, plan, ask.spread)
+        units = 0.0
+        if customer is not None and customer.fill > 0 and not customer.waits:
+            self._refill(customer)
+            keep = 0.5 if self._now - customer.here_at < GIVE_BUSY else 0.0
+            units = max(0.0, min(ask.units, customer.ceiling * (1.0 - keep)))
+            customer.ceiling -= units
+        self._out.append(Tell(sender, write(Give(ask.customer, ask.number, units))))
+
+    def _go_on(self, customer: _Customer) -> None:
+        """Requests that wait go on in their order, ask once more, or are told that there is nothing."""
+        while customer.waits:
+            job = customer.waits[0]
+            plan = self._s.plans[job.request.plan]
+            if self._may_pass(job, plan):
+                customer.waits.pop(0)
+                self._try(job)
+                continue
+            if not self._hopes(job):
+                self._ask(job, plan, 1)
+            if self._hopes(job):
+                return
+            self._end(job, Cause.CEILING)
+
     # --- choose -----------------------------------------------------------------------------------------
 
     def _rank(self, job: _Job, plan: Plan, hot: bool) -> float:
@@ -848,6 +973,8 @@
     def _on_expired(self, event: Expired) -> None:
         """The client has left. What is out runs on; what was counted and never sent on is not used."""
         job = self._jobs.pop(event.request, None)
+        if job is not None and job in job.customer.waits:
+            job.customer.waits.remove(job)
         if job is not None and job.attempts == 0:
             self._settle(job, -job.request.units)
         elif job is not None and job.live:
@@ -924,6 +1051,16 @@
         job = self._jobs.get(request)
         if job is None:
             return
+        if attempt == WAIT_OVER:
+            if job in job.customer.waits:
+                self._refill(job.customer)
+                job.customer.waits.remove(job)
+                if self._may_pass(job, self._s.plans[job.request.plan]):
+                    self._try(job)
+                else:
+                    self._end(job, Cause.CEILING)
+                self._go_on(job.customer)
+            return
         if attempt is None:
             # It means nothing to a request that has its total: its attempt has only just begun.
             if job.held:
@@ -965,6 +1102,8 @@
             self._out.append(Refuse(job.request.id, self._retry_after(job), cause))
         else:
             self._out.append(Fail(job.request.id, cause))
+        if job in job.customer.waits:
+            job.customer.waits.remove(job)
         del self._jobs[job.request.id]
 
     def _retry_after(self, job: _Job) -> int:
--- /dev/null
+++ b/tests/gateways.py
@@ -0,0 +1,107 @@
+"""Several deciding modules with a clock, a counter and a network that a test holds in its hands; no I/O."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import replace
+
+from mothgap.interface import (
+    Action, Count, Counted, Event, Fail, ListKind, Members, Outcome, PeerMessage, Refuse, Request, Result,
+    Send, SetTimer, Settings, Tell, Timer,
+)  # fmt: skip
+from mothgap.rules import Gateway
+from tests.helpers import MS, START, line
+
+ANSWER = 100 * MS  # what a server takes
+CALL = 3 * MS  # what the counter takes
+
+
+class Gateways:
+    """A fleet. What each gateway does is seen by `on`; what befalls messages is drawn by chance."""
+
+    def __init__(
+        self, settings: Settings, seed: int, servers: int = 4, way: tuple[int, int] = (1 * MS, 40 * MS),
+        lost: float = 0.0, twice: float = 0.0,
+    ) -> None:  # fmt: skip
+        self.now, self.chance, self.settings = START, random.Random(seed), settings
+        self.way, self.lost, self.twice = way, lost, twice
+        self.on: Callable[[int, Action], None] = lambda gateway, action: None
+        self.total: Callable[[int, float], float] = lambda name, amount: amount  # the counter's answer
+        self.lines = tuple(line(number + 1) for number in range(servers))
+        self.gateways: list[Gateway] = []
+        self.lives = [0] * settings.fleet_size
+        self.messages = 0
+        self._due: list[tuple[int, int, int, int, Event]] = []
+        self._order = itertools.count()
+        self._ids = itertools.count(1)
+        self.requests: dict[int, Request] = {}
+        for number in range(settings.fleet_size):
+            self.gateways.append(self._new(number))
+
+    def _new(self, number: int) -> Gateway:
+        gateway = Gateway(replace(self.settings, index=number), self.chance.getrandbits(32), self.now)
+        gateway.handle(self.now, Members(ListKind.CACHED, 1, self.lines))
+        return gateway
+
+    def restart(self, number: int) -> None:
+        """Dies and comes back with nothing; what was on its way to its former life is not heard."""
+        self.lives[number] += 1
+        self.gateways[number] = self._new(number)
+
+    def request(self, gateway: int, **fields: object) -> int:
+        """A request comes in now."""
+        request = Request(id=next(self._ids), **fields)  # type: ignore[arg-type]
+        self.requests[request.id] = request
+        self.feed(gateway, request)
+        return request.id
+
+    def feed(self, gateway: int, event: Event) -> None:
+        for action in self.gateways[gateway].handle(self.now, event):
+            self.on(gateway, action)
+            self._act(gateway, action)
+
+    def later(self, delay: int, gateway: int, event: Event, any_life: bool = False) -> None:
+        life = -1 if any_life else self.lives[gateway]
+        heapq.heappush(self._due, (self.now + delay, next(self._order), gateway, life, event))
+
+    def _act(self, gateway: int, action: Action) -> None:
+        match action:
+            case SetTimer():
+                self.later(action.delay, gateway, Timer(action.token))
+            case Count():
+                total = self.total(action.name, action.amount)
+                self.later(CALL, gateway, Counted(action.name, Result.OK, CALL, total))
+            case Send():
+                over = Outcome(action.request, 0, action.server, Result.OK, ANSWER, True)
+                self.later(ANSWER, gateway, over)
+            case Tell() if action.to is not None:
+                self.messages += 1
+                copies = 0 if self.chance.random() < self.lost else 1 + (self.chance.random() < self.twice)
+                for _ in range(copies):
+                    said = PeerMessage(gateway, action.data)
+                    self.later(self.chance.randint(*self.way), action.to, said, any_life=True)
+            case Refuse() | Fail():
+                self.requests.pop(action.request, None)
+            case _:
+                pass
+
+    def run(self, until: int) -> None:
+        """Let time pass up to then."""
+        while self._due and self._due[0][0] <= until:
+            self.now, _, gateway, life, event = heapq.heappop(self._due)
+            if life in (-1, self.lives[gateway]):
+                self.feed(gateway, event)
+        self.now = until
+
+
+class Ledger:
+    """One customer's ceiling over all gateways: what is sent on comes out of one bucket that starts full."""
+
+    def __init__(self, rate: float, burst: float, now: int) -> None:
+        self.rate, self.burst, self.level, self.at = rate, burst, burst, now
+        self.lowest, self.taken = burst, 0.0
+
+    def take(self, units: float, now: int) -> None:
+        self.level = min(self.burst, self.level + self.rate * (now - self.at) / 1_000_000) - units
+        self.at, self.lowest, self.taken = now, min(self.lowest, self.level), self.taken + units
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -1,11 +1,13 @@
 """The users' limits on the decision module."""
 
+import tomllib
 from pathlib import Path
 
-import mothgap.rules
+ROOT = Path(__file__).parent.parent
 
 
 def test_the_module_stays_within_its_limits() -> None:
-    lines = Path(mothgap.rules.__file__).read_text().splitlines()
+    files = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["policy"]
+    lines = [line for file in files for line in (ROOT / file).read_text().splitlines()]
     assert len([line for line in lines if line.strip()]) <= 1_200
     assert max(map(len, lines)) <= 110
