Where handshakes have a price, a server with an idle connection goes first

The module now counts, from answers alone, the connections to a server that carry nothing, for 5 s (they are closed after 7.5 s at the latest); a server without one counts for more, by the price that the settings tell.

Ruled out on the way: a fixed factor (30, whatever the price) starves servers that have just come and far zones where nothing is gained; the unit tests of both found it.

--- a/mothgap/interface.py
+++ b/mothgap/interface.py
@@ -156,6 +156,7 @@
     limits: Limits = Limits()
     safety: Safety = Safety()
     counter: Counter | None = None
+    handshake_price: float = 0.0  # what one new connection a request takes off the result
     units_top: float = 1.0  # the most units that one request counts
     units_settle: bool = False  # units are guesses; the true ones come with the answer
     weighted: bool = False  # the list's weights tell the sizes of servers
--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -78,6 +78,9 @@
 STALE = SECOND  # microseconds after which what a server last showed of its load says little
 LOAD_FIELDS = ("inflight", "util", "qps")  # fields of load reports that tell of load
 FAR = 1.3  # times the expected wait at a server of another zone: the way there costs, and is longer
+NEW_PRICED = 400.0  # times the price of a handshake; so much more a server counts where one has to be made:
+NEW_MOST = 30.0  # times the expected wait, which is only if no other server will do
+KEPT_FOR = 5 * SECOND  # microseconds after an answer in which its connection is taken to be there still
 NEAR_ALIKE = 1.05 - 0.95  # waits this near to each other are alike: chance decides
 PACE_TRUST = 10.0  # own answers of a server at which its pace counts as much as the pace of its kind
 
@@ -170,8 +173,8 @@
 class _Server:
     """What this gateway knows of one server."""
 
-    __slots__ = ("answered_at", "aside", "cold_at", "cold_left", "errors", "ghosts", "kind", "limit",
-                 "line", "load", "load_at", "out", "pace", "seen", "trial")
+    __slots__ = ("answered_at", "aside", "cold_at", "cold_left", "errors", "ghosts", "idle", "idle_at",
+                 "kind", "limit", "line", "load", "load_at", "out", "pace", "seen", "trial")
 
     def __init__(self, line: Member, now: int, limit: _Limit, kind: _Kind) -> None:
         self.line, self.limit, self.kind = line, limit, kind
@@ -180,6 +183,7 @@
         self.pace, self.seen = 1.0, 0  # answer time against the usual of the class, and answers behind it
         self.errors = 0.0
         self.answered_at = now
+        self.idle, self.idle_at = 0, now  # connections that carry nothing, as far as answers tell; when last
         self.aside, self.trial = False, 0  # set aside; when it may be tried next
         self.load, self.load_at = 0.0, now
         self.cold_left, self.cold_at = 0.0, now
@@ -782,8 +786,8 @@
             return None
         old = self._now - int(GHOST_AIMS * self._longest)
         shunned, each = self._shunned(), self._pooled is None
-        cold_since = self._now - self._s.safety.cold_span
-        best, least = None, 0.0
+        cold_since, kept = self._now - self._s.safety.cold_span, self._now - KEPT_FOR
+        best, least, new = None, 0.0, min(NEW_MOST, 1.0 + NEW_PRICED * self._s.handshake_price)
         # What the expected wait goes by is written out here: this loop is most of what a request costs.
         now, mean, zone, weighted = self._now, self._mean_load, self._s.zone, self._s.weighted
         draw, exp, log, power = self._random.random, math.exp, math.log, math.pow
@@ -818,6 +822,8 @@
                     cost = 0.0  # its trial is due; hundreds of gateways try it without being made to
             if line.zone != zone:
                 cost *= FAR
+            if not server.idle or server.idle_at < kept:
+                cost *= new
             if name == avoid:
                 cost = (1.0 + cost) * AVOID
             if best is None or cost < least:
@@ -928,6 +934,7 @@
         server.out[(job.request.id, job.attempts)] = self._now
         if server.aside:
             server.trial = self._now + self._aside_span()
+        server.idle = max(0, server.idle - 1) if self._now - server.idle_at < KEPT_FOR else 0
         server.cold_left -= 1.0
         job.live[job.attempts] = (server, self._now)
         job.attempts += 1
@@ -1021,6 +1028,7 @@
                 self._mean_load += SMOOTH * (server.load - self._mean_load)
         if event.result in (Result.OK, Result.ERROR, Result.FULL):
             server.answered_at = self._now
+            server.idle, server.idle_at = server.idle + 1, self._now
         usual = self._usual[job.request.cls] or float(event.elapsed) if job is not None else 0.0
         given_up = event.result in (Result.TIMEOUT, Result.CANCELLED)
         if usual and (event.result is Result.OK or (given_up and event.elapsed > server.pace * usual)):
--- a/mothgap/settings.py
+++ b/mothgap/settings.py
@@ -72,6 +72,7 @@
             counter=api.Counter(time_limit=extra["countLimitUs"], price=extra.get("callPrice", 0.0))
             if extra.get("counter")
             else None,
+            handshake_price=facts.get("prices", {}).get("handshake", 0.0),
             units_top=extra.get("unitsTop", 1),
             units_settle=extra.get("truedUp", False),
             weighted=facts.get("weights", "off") in ("nominal", "rough"),
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -6,7 +6,9 @@
 
 import pytest
 
-from mothgap.interface import Cause, Refuse
+from mothgap.interface import Cause, Refuse, Result
+from mothgap.rules import KEPT_FOR
+from mothgap.settings import read_settings
 from tests.helpers import KEYED, MS, SETTINGS, START, Driver, line
 
 MANY = replace(SETTINGS, counter=None, fleet_size=1)
@@ -61,3 +63,58 @@
         driver.admitted(customer=100 + customer, cls=KEYED)
     actions = driver.request(customer=200, cls=cls)
     assert ([a.cause for a in actions if isinstance(a, Refuse)] == [Cause.ROOM]) is refused
+
+
+PRICED = replace(SETTINGS, handshake_price=0.08)
+
+
+@pytest.mark.parametrize(("price", "used"), [(0.08, (1, 6)), (0.0, (12, 40))])
+def test_a_server_with_an_idle_connection_goes_first_where_new_ones_have_a_price(
+    price: float, used: tuple[int, int]
+) -> None:
+    # Guards servers that are short of connections against forty gateways that each open one to all of them.
+    driver = Driver(replace(SETTINGS, handshake_price=price), servers=40)
+    for _ in range(60):
+        send = driver.admitted(customer=driver.next_id)
+        driver.now += 100 * MS
+        driver.outcome(send.request)
+    servers = {server for life in driver.lives.values() for server, *_ in life.sent.values()}
+    assert used[0] <= len(servers) <= used[1]
+
+
+def test_one_that_carries_an_attempt_or_has_idled_for_long_counts_as_a_new_one() -> None:
+    driver = Driver(PRICED, servers=2)
+    first = driver.admitted()
+    driver.now += 100 * MS
+    driver.outcome(first.request)
+    again = driver.admitted(customer=78)
+    assert again.server == first.server
+    other = [driver.admitted(customer=80 + number).server for number in range(2)]
+    assert other != [first.server] * 2  # its connection is taken
+    driver.finish()
+    used = set()
+    for number in range(40):
+        driver.now += KEPT_FOR + 1
+        send = driver.admitted(customer=100 + number)
+        used.add(send.server)
+        driver.now += 100 * MS
+        driver.outcome(send.request)
+    assert len(used) == 2
+
+
+def test_a_connection_that_broke_is_no_idle_one() -> None:
+    driver = Driver(PRICED, servers=2)
+    first = driver.admitted()
+    driver.now += 100 * MS
+    driver.outcome(first.request)
+    server = driver.gateway._servers[first.server]
+    assert server.idle == 1
+    again = driver.admitted(customer=78)
+    assert server.idle == 0
+    driver.outcome(again.request, Result.RESET)
+    assert server.idle == 0
+
+
+def test_the_price_of_a_handshake_is_read_and_none_where_it_is_not_told() -> None:
+    assert read_settings({**FACTS, "prices": {"handshake": 0.07, "odd": 1}}).handshake_price == 0.07
+    assert read_settings({k: v for k, v in FACTS.items() if k != "prices"}).handshake_price == 0.0
