--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -10,6 +10,7 @@
 from mothgap.rules import KEPT_FOR
 from mothgap.settings import read_settings
 from tests.helpers import KEYED, MS, SETTINGS, START, Driver, line
+from tests.test_drill import FACTS
 
 MANY = replace(SETTINGS, counter=None, fleet_size=1)
 
@@ -91,15 +92,18 @@
     assert again.server == first.server
     other = [driver.admitted(customer=80 + number).server for number in range(2)]
     assert other != [first.server] * 2  # its connection is taken
-    driver.finish()
-    used = set()
-    for number in range(40):
-        driver.now += KEPT_FOR + 1
+
+
+def test_a_connection_that_has_idled_for_long_is_not_counted_on() -> None:
+    driver = Driver(PRICED, servers=2)
+    used = []
+    for number in range(30):
         send = driver.admitted(customer=100 + number)
-        used.add(send.server)
+        used.append(send.server)
         driver.now += 100 * MS
         driver.outcome(send.request)
-    assert len(used) == 2
+        driver.now += KEPT_FOR + 1
+    assert len(set(used[:12])) == 2
 
 
 def test_a_connection_that_broke_is_no_idle_one() -> None:
