--- a/lynxreel/__main__.py
+++ b/lynxreel/__main__.py
@@ -12,6 +12,9 @@
 
 import uvloop
 
+from lynxreel.daemon.instance import Instance
+from lynxreel.daemon.lifecycle import Ask, Do, Life
+from lynxreel.fronts.resp2 import HALF_READ
 from lynxreel.log import log
 from lynxreel.node import Deployment, Node, PeerPlan
 from lynxreel.protocol.address import read_address
@@ -20,6 +23,7 @@
 from mothgap.settings import read_names, read_settings
 
 ACCEPT = 0.5  # seconds that new connections are taken after SIGTERM
+SIGNALS = {signal.SIGHUP: Ask.RELOAD, signal.SIGTERM: Ask.STOP, signal.SIGINT: Ask.STOP}
 
 
 def read_config() -> dict[str, Any]:
@@ -46,35 +50,56 @@
     return Deployment(settings, names, (listen,), discovery, counter, sockets, peers=peers)
 
 
-def move(node: Node) -> None:
-    """SIGHUP: go by the addresses in the new file. One that can't be read changes nothing."""
-    try:
-        config = read_config()
-        discovery = read_address(config["discovery"])
-        counter = None if node.counter is None else read_address(config["counter"])
-    except (OSError, ValueError, KeyError, TypeError, AttributeError) as wrong:
-        log(f"the new configuration can't be read, the old one stays: {wrong!r}")
-    else:
-        node.move(discovery, counter)
+class Program(Instance):
+    """The platform's program: its configuration says where to listen, and SIGHUP where to look."""
+
+    def __init__(self, config: dict[str, Any], loop: asyncio.AbstractEventLoop) -> None:
+        deployment = read_deployment(config)
+        longest = max(cls.deadline for cls in deployment.settings.classes) / 1e6
+        super().__init__(Life(ACCEPT, longest + HALF_READ), loop)
+        self._operator = config.get("operator") or os.environ.get("EDGE_OPERATOR", "")
+        known = read_list(config["known"], deployment.names, ListKind.CACHED)
+        self.node = Node(deployment, int(config["seed"], 16), known, loop)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM."""
+        for number, ask in SIGNALS.items():
+            self.loop.add_signal_handler(number, self.ask, ask)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        if self._operator:
+            await self.take_calls(read_address(self._operator))
+        await self.live(self._start())
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # from here on there is nothing to move
+        self.node.close()
+
+    async def _start(self) -> None:
+        await self.node.start()
+        self.started()
+
+    def do(self, do: Do) -> None:
+        """Carry out what is the program's own. Pings are not told of a stop: the drain tells."""
+        match do:
+            case Do.RELOAD:
+                self._move()
+                self.reloaded()
+            case Do.CUT_OFF:
+                self.node.clients.cut_off()
+
+    def _move(self) -> None:
+        """Go by the addresses in the new file. One that can't be read changes nothing."""
+        try:
+            config = read_config()
+            discovery = read_address(config["discovery"])
+            counter = None if self.node.counter is None else read_address(config["counter"])
+        except (OSError, ValueError, KeyError, TypeError, AttributeError) as wrong:
+            log(f"the new configuration can't be read, the old one stays: {wrong!r}")
+        else:
+            self.node.move(discovery, counter)
 
 
 async def serve(config: dict[str, Any]) -> None:
     """Serve until SIGTERM."""
-    loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    deployment = read_deployment(config)
-    known = read_list(config["known"], deployment.names, ListKind.CACHED)
-    node = Node(deployment, int(config["seed"], 16), known, loop)
-    loop.add_signal_handler(signal.SIGHUP, move, node)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-    await node.start()
-
-    await stop.wait()
-    await node.clients.stop(ACCEPT, node.longest)
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # from here on there is nothing to move
-    node.close()
+    await Program(config, asyncio.get_running_loop()).run()
 
 
 def main() -> int:
--- a/lynxreel/cli/main.py
+++ b/lynxreel/cli/main.py
@@ -56,6 +56,12 @@
     return control(args.what, args.config, args.wait)
 
 
+def _say(args: argparse.Namespace) -> int:
+    from lynxreel.daemon.control import say
+
+    return say(args.command.upper(), args.config)
+
+
 def _records(args: argparse.Namespace) -> int:
     import json
 
@@ -147,7 +153,7 @@
     for what, text in (
         ("status", "print a running instance's state file"),
         ("reload", "have an instance read its file again"),
-        ("drain", "have an instance take no new connection, answer what it owes, and end"),
+        ("leave", "have an instance take no new connection, answer what it owes, and end"),
         ("stop", "the same after a moment in which connections are still taken"),
     ):
         control = commands.add_parser(what, help=text)
@@ -155,6 +161,15 @@
         control.add_argument("--wait", type=float, default=0.0, metavar="SECONDS", help="for it to be done")
         control.set_defaults(run=_control, what=what)
 
+    for word, text in (
+        ("ready", "ask whether an instance takes clients"),
+        ("drain", "have an instance send its clients away and take none, until undrain"),
+        ("undrain", "have a drained instance take clients again"),
+    ):
+        call = commands.add_parser(word, help=text)
+        call.add_argument("--config", type=Path, required=True, metavar="FILE", help="the operator file")
+        call.set_defaults(run=_say)
+
     local = commands.add_parser("local", help="a whole deployment on this machine, with stand-ins and a load")
     if words[:1] == ["local"]:
         from lynxreel.local.run import add_arguments
--- a/lynxreel/config/deploy.py
+++ b/lynxreel/config/deploy.py
@@ -24,7 +24,7 @@
 
 MS = 1_000  # microseconds
 FIXED = (  # only at a start
-    "gateway.name", "gateway.number", "gateway.workers", "supervisor", "state", "records",
+    "gateway.name", "gateway.number", "gateway.workers", "supervisor", "state", "records", "operations",
     "counter.guard", "counter.beat_ms", "boxes.file", "boxes.etcd", "boxes.most_removed",
     "boxes.removed_within_ms", "http.listen", "http.repeat_keys", "http.repeat_ms",
 )  # fmt: skip
--- a/lynxreel/config/model.py
+++ b/lynxreel/config/model.py
@@ -257,6 +257,12 @@
     every_ms: Milliseconds = 1_000
 
 
+class Operations(_Table):
+    """Where operators' staff call: READY, DRAIN, UNDRAIN, one line to a connection."""
+
+    listen: Address
+
+
 class Http(_Table):
     """An HTTP front, whose routes and costs an OpenAPI description gives."""
 
@@ -289,6 +295,7 @@
     counter: Counter | None = None
     drain: Drain = Drain()
     records: Records | None = None
+    operations: Operations | None = None
     http: Http | None = None
     supervisor: Supervisor = Supervisor()
     fleet: Fleet | None = None
@@ -310,6 +317,11 @@
         number, count = self.gateway.number, self.gateway.gateways
         if self.fleet is None and number >= count:
             raise ValueError(f"gateway.number {number} is outside a fleet of {count}: count from 0")
+        if self.operations is not None and self.gateway.workers:
+            raise ValueError(
+                "operations.listen is of one instance, and gateway.workers asks for several: "
+                "remove one of them; `lynxreel drain` asks every worker"
+            )
         longest = max(cls.deadline_ms for cls in self.classes)
         if self.drain.deadline_ms < longest:
             raise ValueError(
--- a/lynxreel/daemon/control.py
+++ b/lynxreel/daemon/control.py
@@ -13,7 +13,7 @@
 from lynxreel.daemon.place import Place
 from lynxreel.jsonlines import ask
 
-ASKS = {"reload": signal.SIGHUP, "drain": signal.SIGUSR1, "stop": signal.SIGTERM}
+ASKS = {"reload": signal.SIGHUP, "leave": signal.SIGUSR1, "stop": signal.SIGTERM}
 NOT_RUNNING, NOT_DONE, REFUSED, BAD_CONFIG = 3, 4, 1, 78
 LOOK = 0.05  # seconds between looks at the state file
 
@@ -52,6 +52,21 @@
     return 0 if wait <= 0 else NOT_DONE
 
 
+def say(line: str, config: Path) -> int:
+    """An operator's call to an instance, or to each of its workers; 0: all say +OK, 1: one does not."""
+    try:
+        places = Place(read(config).state.folder).instances()
+        answers = [str(ask(str(place.queries), "call", line=line)) for place in places]
+    except ConfigError as wrong:
+        print(wrong, file=sys.stderr)
+        return BAD_CONFIG
+    except (OSError, ValueError) as wrong:
+        print(f"no instance can be asked: {wrong}", file=sys.stderr)
+        return NOT_RUNNING
+    print(*answers, sep="\n")
+    return 0 if all(answer.startswith("+OK") for answer in answers) else REFUSED
+
+
 def boxes(config: Path, approve: bool) -> int:
     """Print what a running instance believes of its boxes; with `approve`, first let it follow its source."""
     try:
--- /dev/null
+++ b/lynxreel/daemon/instance.py
@@ -0,0 +1,105 @@
+"""The shell round an instance's life: what signals and calls ask goes in, what is to be done comes out."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+
+from lynxreel.daemon.lifecycle import Ask, Do, Empty, Event, Life, Reloaded, Started, State, Tick
+from lynxreel.log import log
+from lynxreel.node import Node
+from lynxreel.operations.calls import answer
+from lynxreel.operations.desk import Desk
+from lynxreel.protocol.address import Address
+
+
+class Instance:
+    """One gateway's life from its start to its end. What differs between programs is in what derives."""
+
+    announce = 0.0  # seconds in which idle connections are left open once the instance is to end
+
+    def __init__(self, life: Life, loop: asyncio.AbstractEventLoop) -> None:
+        self.life, self.loop = life, loop
+        self.node: Node  # set by whoever derives, before `live`
+        self._events: asyncio.Queue[Event] = asyncio.Queue()
+        self._desk: Desk | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def ask(self, ask: Ask) -> None:
+        """An operator's wish, by a signal."""
+        self._events.put_nowait(ask)
+
+    async def take_calls(self, listen: Address) -> Address:
+        """Answer operators' calls there; where. Raises an OSError where the address is taken."""
+        self._desk = Desk(self.call, self.loop)
+        return await self._desk.open(listen)
+
+    def call(self, line: bytes) -> bytes:
+        """An operator's call; its answer. It is carried out before that: whoever has it may rely on it."""
+        reply, deeds = answer(self.life, self.loop.time(), line)
+        self._carry_out(deeds)
+        return reply
+
+    def later(self, work: Coroutine[object, object, None]) -> asyncio.Task[None]:
+        """Something that goes on beside the life, and ends with it."""
+        task = self.loop.create_task(work)
+        self._tasks.append(task)
+        return task
+
+    async def live(self, start: Coroutine[object, object, None]) -> None:
+        """Until STOPPED. `start` ends when clients are taken; raises what it raised."""
+        starting = self.later(start)
+        try:
+            while self.life.state is not State.STOPPED:
+                event = await self._next(starting)
+                self._carry_out(self.life.handle(self.loop.time(), event))
+        finally:
+            for task in self._tasks:
+                task.cancel()
+            if self._desk is not None:
+                self._desk.close()
+
+    async def _next(self, start: asyncio.Task[None]) -> Event:
+        """The next event, or a Tick when one is due. Raises what ended the start."""
+        due = self.life.due()
+        timeout = None if due is None else max(0.0, due - self.loop.time())
+        getting = self.loop.create_task(self._events.get())
+        waiting = {getting} if start.done() else {getting, start}
+        await asyncio.wait(waiting, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
+        if start.done() and (wrong := start.exception()) is not None:
+            getting.cancel()
+            raise wrong
+        if getting.done():
+            return getting.result()
+        getting.cancel()
+        return Tick()
+
+    def started(self) -> None:
+        """Clients are taken."""
+        self._events.put_nowait(Started())
+
+    def reloaded(self) -> None:
+        """The reload that was begun has ended, well or not."""
+        self._events.put_nowait(Reloaded())
+
+    def _carry_out(self, deeds: list[Do]) -> None:
+        for do in deeds:
+            match do:
+                case Do.SET_ASIDE:
+                    log("drained: clients are sent away until UNDRAIN")
+                    self.node.set_aside()
+                case Do.TAKE_BACK:
+                    log("undrained: clients are taken")
+                    self.node.take_back()
+                case Do.CLOSE:
+                    self.later(self._drain())
+            self.do(do)
+
+    async def _drain(self) -> None:
+        await self.node.drain(self.life.deadline, self.announce)
+        if not self.node.connections:
+            self._events.put_nowait(Empty())
+
+    def do(self, do: Do) -> None:
+        """What a program adds to a deed, or all of it where the deed is its own."""
+        raise NotImplementedError
--- a/lynxreel/daemon/lifecycle.py
+++ b/lynxreel/daemon/lifecycle.py
@@ -1,8 +1,10 @@
 """An instance's life, without I/O: what it is asked and what has happened in, what to do out.
 
-STARTING -> READY -> (LEAVING ->) DRAINING -> STOPPED. A reload is a step within READY. A stop still takes new
-connections for a while (LEAVING), as whoever sends them learns of it late; a drain does not. Once either has
-begun there is no way back: an instance that has told its front that it goes must go.
+STARTING -> READY <-> DRAINED, and from either (LEAVING ->) DRAINING -> STOPPED. A reload is a step within
+READY or DRAINED. A drained instance listens, answers pings with a no, and keeps no connection; it comes back
+as often as it is asked. A stop still takes new connections for a while (LEAVING), as whoever sends them
+learns of it late; to leave is a stop without that. From a stop there is no way back: one that has told
+its front that it goes must go.
 """
 
 from __future__ import annotations
@@ -17,16 +19,19 @@
 
     STARTING = "starting"
     READY = "ready"
+    DRAINED = "drained"
     LEAVING = "leaving"
     DRAINING = "draining"
     STOPPED = "stopped"
 
 
 class Ask(Enum):
-    """What an operator asks for, by a signal."""
+    """What an operator asks for, by a signal or a call."""
 
     RELOAD = "reload"
-    DRAIN = "drain"
+    DRAIN = "drain"  # take no clients until asked to
+    UNDRAIN = "undrain"
+    LEAVE = "leave"
     STOP = "stop"
 
 
@@ -58,6 +63,8 @@
 
     TELL = "tell"  # the state file and the service manager
     RELOAD = "reload"  # read the file and take it, whole or not at all; `Reloaded` follows
+    SET_ASIDE = "set aside"  # pings hear a no, and each connection ends as soon as nothing is owed on it
+    TAKE_BACK = "take back"  # the end of that
     SAY_LEAVING = "say leaving"  # pings are answered that no new work is taken
     CLOSE = "close"  # the listeners, and each connection as soon as nothing is owed on it
     CUT_OFF = "cut off"  # tell what is left: the process ends with it
@@ -71,6 +78,7 @@
         self.state = State.STARTING
         self.accept, self.deadline = accept, deadline
         self.reloading = False
+        self._drained = False  # asked for, also where it does not listen yet
         self._reload_again = False
         self._waiting: list[Ask] = []  # asked in the middle of a reload
         self._until = 0.0  # when the present state ends by itself
@@ -79,8 +87,8 @@
         """Take one event; return what to do, in order."""
         match event:
             case Started():
-                self.state = State.READY
-                return [Do.TELL]
+                self.state = State.DRAINED if self._drained else State.READY
+                return [Do.SET_ASIDE, Do.TELL] if self._drained else [Do.TELL]
             case Reloaded():
                 self.reloading = False
                 if self._reload_again and not self._waiting:
@@ -94,11 +102,23 @@
             case _:
                 return self._ask(now, event)
 
+    @property
+    def ready(self) -> bool:
+        """Clients are welcome."""
+        return self.state is State.READY
+
+    @property
+    def ending(self) -> bool:
+        """There is no way back."""
+        return self.state in (State.LEAVING, State.DRAINING, State.STOPPED)
+
     def due(self) -> float | None:
         """When a `Tick` is wanted."""
         return self._until if self.state in (State.LEAVING, State.DRAINING) else None
 
     def _ask(self, now: float, ask: Ask) -> list[Do]:
+        if ask in (Ask.DRAIN, Ask.UNDRAIN):
+            return self._set_aside(ask is Ask.DRAIN)
         if self.state is State.STARTING and ask is not Ask.RELOAD:
             return self._exit()  # nothing has been taken
         if self.reloading:  # it is not broken off in its middle; it is short
@@ -108,14 +128,24 @@
                 self._waiting.append(ask)
             return []
         if ask is Ask.RELOAD:
-            return self._reload() if self.state in (State.STARTING, State.READY) else []
-        if ask is Ask.STOP and self.state is State.READY and self.accept > 0:
+            return [] if self.ending else self._reload()
+        if ask is Ask.STOP and not self.ending and self.accept > 0:
             self.state, self._until = State.LEAVING, now + self.accept
             return [Do.SAY_LEAVING, Do.TELL]
-        if self.state in (State.READY, State.LEAVING) and (ask is Ask.DRAIN or self.state is State.READY):
+        if not self.ending or (ask is Ask.LEAVE and self.state is State.LEAVING):
             return self._drain(now)
         return []  # it is on its way; asking again makes nothing quicker
 
+    def _set_aside(self, drained: bool) -> list[Do]:
+        """Also in the middle of a reload: it undoes nothing, and is not undone."""
+        if self.ending or drained is self._drained:
+            return []
+        self._drained = drained
+        if self.state is State.STARTING:
+            return []
+        self.state = State.DRAINED if drained else State.READY
+        return [Do.SET_ASIDE if drained else Do.TAKE_BACK, Do.TELL]
+
     def _next(self, now: float) -> list[Do]:
         """What was asked meanwhile. The end goes before another reload, which nobody would see."""
         waiting, self._waiting = self._waiting, []
--- a/lynxreel/daemon/serve.py
+++ b/lynxreel/daemon/serve.py
@@ -22,14 +22,15 @@
 from lynxreel.config.overlay import overlay
 from lynxreel.config.read import ConfigError, read
 from lynxreel.daemon.codes import ADDRESS, ADDRESS_TAKEN, BAD_CONFIG, INNER_FAULT, OK, PLACE_TAKEN
-from lynxreel.daemon.lifecycle import Ask, Do, Empty, Event, Life, Reloaded, Started, State, Tick
+from lynxreel.daemon.instance import Instance
+from lynxreel.daemon.lifecycle import Ask, Do, Life, State
 from lynxreel.daemon.notify import Notifier
 from lynxreel.daemon.place import Place, Taken
 from lynxreel.fronts.listeners import Doors, OwnDoors, activated
 from lynxreel.jsonlines import Commands, listen
 from lynxreel.log import log
 from lynxreel.node import Deployment, Node
-from lynxreel.protocol.address import Address
+from lynxreel.protocol.address import Address, read_address
 from lynxreel.records.tally import Tally
 from lynxreel.records.writer import Writer
 
@@ -37,37 +38,37 @@
     from lynxreel.workers.worker import Leash, Post
 
 SIGNALS = {
-    signal.SIGHUP: Ask.RELOAD, signal.SIGUSR1: Ask.DRAIN,
+    signal.SIGHUP: Ask.RELOAD, signal.SIGUSR1: Ask.LEAVE,
     signal.SIGTERM: Ask.STOP, signal.SIGINT: Ask.STOP,
 }  # fmt: skip
 QUIET_SPANS = 10  # spans of records with nothing to tell after which a line is written all the same
 
 
-class Daemon:
-    """Runs one instance until it has stopped."""
+class Daemon(Instance):
+    """Runs one instance by its operator file until it has stopped."""
 
     def __init__(
         self, path: Path, file: OperatorFile, deployment: Deployment, place: Place,
         given: Mapping[Address, socket.socket] | None = None, post: Post | None = None,
     ) -> None:  # fmt: skip
         """`given`: listeners of a service manager; `post`: what a supervisor's worker is started with."""
+        life = Life(file.drain.accept_ms / 1e3, file.drain.deadline_ms / 1e3)
+        super().__init__(life, asyncio.get_running_loop())
         self._path, self._file, self._place, self._post = path, file, place, post
-        self._loop = asyncio.get_running_loop()
+        self.announce = file.drain.announce_ms / 1e3
         self._notifier = Notifier()
-        self._events: asyncio.Queue[Event] = asyncio.Queue()
-        self._life = Life(file.drain.accept_ms / 1e3, file.drain.deadline_ms / 1e3)
-        doors: Doors = OwnDoors(self._loop, given)
+        doors: Doors = OwnDoors(self.loop, given)
         self._leash: Leash | None = None
         if post is not None:
             from lynxreel.workers.worker import Leash, SharedDoors  # here: only under a supervisor
 
-            doors = shared = SharedDoors(post, self._loop)
-            self._leash = Leash(post, shared, self._loop, self._door, self._leaving, self._orphaned)
-        self._node = Node(deployment, secrets.randbits(64), None, self._loop, doors=doors)
+            doors = shared = SharedDoors(post, self.loop)
+            self._leash = Leash(post, shared, self.loop, self._door, self._leaving, self._orphaned)
+        self.node = Node(deployment, secrets.randbits(64), None, self.loop, doors=doors)
         if post is not None:
-            shared.count = lambda: self._node.connections
-            self._node.hold(False)  # until its door opens: another one may hold it still
-        self._tally = self._node.engine.tally = Tally()
+            shared.count = lambda: self.node.connections
+            self.node.hold(False)  # until its door opens: another one may hold it still
+        self._tally = self.node.engine.tally = Tally()
         self._writer: Writer | None = None
         if file.records is not None:
             most = int(file.records.most_mb * 1e6)
@@ -77,43 +78,38 @@
         self._left = 0
         self._address_goes = True  # when this instance ends, nobody else serves where it did
         self._quiet = 0
-        self._tasks: list[asyncio.Task[None]] = []
         self._queries: asyncio.Server | None = None
         self._adopting = asyncio.Lock()  # a reload and settings from a source take turns
         self._settings: dict[str, bytes] = {}  # in force, by key
         self._settings_revision, self._settings_problems = 0, list[str]()
         self._own = file  # as read, without a source's settings
-        if not isinstance(deployment.discovery, tuple) and hasattr(self._node.source, "settled"):
-            self._node.source.settled = self._settle
+        if not isinstance(deployment.discovery, tuple) and hasattr(self.node.source, "settled"):
+            self.node.source.settled = self._settle
 
     async def run(self) -> int:
         """Serve until asked to end; the exit code."""
         for number, ask in SIGNALS.items():
-            self._loop.add_signal_handler(number, self._events.put_nowait, ask)
+            self.loop.add_signal_handler(number, self.ask, ask)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, set(SIGNALS))
         self._tell()
         await self._listen_for_queries()
-        start = self._loop.create_task(self._start())
-        self._tasks = [start, self._loop.create_task(self._count())]
+        self.later(self._count())
         if self._notifier.watchdog is not None:
-            self._tasks.append(self._loop.create_task(self._show_life(self._notifier.watchdog)))
+            self.later(self._show_life(self._notifier.watchdog))
         if self._leash is not None:
-            self._tasks.append(self._loop.create_task(self._leash.beat()))
+            self.later(self._leash.beat())
         try:
-            while self._life.state is not State.STOPPED:
-                event = await self._next(start)
-                for do in self._life.handle(self._loop.time(), event):
-                    self._do(do)
+            if self._file.operations is not None:
+                await self.take_calls(read_address(self._file.operations.listen))
+            await self.live(self._start())
         except OSError as wrong:
             log(f"can't listen: {wrong}")
             return ADDRESS_TAKEN if wrong.errno in ADDRESS else INNER_FAULT
         finally:
             signal.pthread_sigmask(signal.SIG_BLOCK, set(SIGNALS))
-            for task in self._tasks:
-                task.cancel()
             if self._queries is not None:
                 self._queries.close()
-            self._node.close()
+            self.node.close()
             if self._leash is not None:
                 self._leash.close()
             if self._writer is not None:
@@ -126,96 +122,86 @@
         try:
             path.unlink(missing_ok=True)  # of one that died: the lock is ours
             answers: Commands = {"customer": self._customer, "boxes": self._boxes, "approve": self._approve}
+            answers |= {"call": lambda asked: self.call(str(asked["line"]).encode()).decode().strip()}
             self._queries, _ = await listen(answers, str(path))
         except OSError as wrong:
             log(f"queries can't be answered, serving goes on: {path}: {wrong}")
 
     def _customer(self, asked: dict[str, Any]) -> dict[str, Any]:
         """What this instance believes of a customer and of its count."""
-        guard, name = self._node.guard, int(asked["name"])
+        guard, name = self.node.guard, int(asked["name"])
         count = guard.believes(name) if guard is not None else {}
-        return {"customer": self._node.engine.believes(int(asked["customer"])), "count": count}
+        return {"customer": self.node.engine.believes(int(asked["customer"])), "count": count}
 
     def _boxes(self, asked: dict[str, Any]) -> Any:
         """What this instance believes of its boxes and why."""
-        return self._node.boxes()
+        return self.node.boxes()
 
     def _approve(self, asked: dict[str, Any]) -> Any:
         """The operator's second word for what is held."""
-        held = self._node.approve()
+        held = self.node.approve()
         if held:
             log(f"approved: {held}")
         return held
 
-    async def _next(self, start: asyncio.Task[None]) -> Event:
-        """The next event, or a Tick when one is due. Raises what ended the start."""
-        due = self._life.due()
-        timeout = None if due is None else max(0.0, due - self._loop.time())
-        getting = self._loop.create_task(self._events.get())
-        waiting = {getting} if start.done() else {getting, start}
-        await asyncio.wait(waiting, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
-        if start.done() and (wrong := start.exception()) is not None:
-            getting.cancel()
-            raise wrong
-        if getting.done():
-            return getting.result()
-        getting.cancel()
-        return Tick()
-
     async def _start(self) -> None:
         """Take clients once the servers are known: before that every answer would be a refusal."""
-        waiting = self._loop.call_later(1.0, log, "waiting for the first list of servers")
+        waiting = self.loop.call_later(1.0, log, "waiting for the first list of servers")
         if self._leash is None:
-            await self._node.start(None)
+            await self.node.start(None)
         else:
-            await self._node.warm(None)
+            await self.node.warm(None)
             self._leash.ready()
         waiting.cancel()
         self._record("started", {"listen": list(self._file.gateway.listen)})
-        self._events.put_nowait(Started())
+        self.started()
 
     async def _door(self, opened: bool) -> None:
         """The supervisor's word: take connections and hold a share of ceilings, or do neither."""
         if opened:
-            await self._node.warm(None)  # before that every answer would be a refusal
-            self._node.hold(True)
-            await self._node.open()
+            await self.node.warm(None)  # before that every answer would be a refusal
+            self.node.hold(True)
+            await self.node.open()
         else:
-            await self._node.shut()
-            self._node.hold(False)
+            await self.node.shut()
+            self.node.hold(False)
 
     def _leaving(self, address_goes: bool) -> None:
         """The supervisor's word on what a drain of this instance means to clients."""
         self._address_goes = address_goes
-        self._node.clients.leaving = address_goes
+        self.node.clients.leaving = address_goes
 
     def _orphaned(self) -> None:
         """The supervisor has ended. Another one may start workers of the same numbers at any time."""
         log("the supervisor has ended: draining")
-        self._node.hold(False)
-        self._events.put_nowait(Ask.DRAIN)
+        self.node.hold(False)
+        self.ask(Ask.LEAVE)
 
     # --- what the life says -----------------------------------------------------------------------------
 
-    def _do(self, do: Do) -> None:
+    def do(self, do: Do) -> None:
+        """Carry out what is the daemon's own."""
         match do:
             case Do.TELL:
                 self._tell()
             case Do.RELOAD:
                 self._notifier.reloading()
-                self._tasks.append(self._loop.create_task(self._reload()))
+                self.later(self._reload())
             case Do.SAY_LEAVING:
                 # Where others go on at this address, whoever pings is not to leave it for this one's end.
-                self._node.clients.leaving = self._address_goes
-                self._notifier.stopping(self._life.state.value)
-                if self._life.state is State.LEAVING:
+                self.node.clients.leaving = self._address_goes
+                self._notifier.stopping(self.life.state.value)
+                if self.life.state is State.LEAVING:
                     self._record("leaving")
             case Do.CLOSE:
-                log(f"draining: {self._node.connections} connections are open")
-                self._record("draining", {"connections": self._node.connections})
-                self._tasks.append(self._loop.create_task(self._drain()))
+                log(f"draining: {self.node.connections} connections are open")
+                self._record("draining", {"connections": self.node.connections})
+            case Do.SET_ASIDE:
+                self._record("drained", {"connections": self.node.connections})
+            case Do.TAKE_BACK:
+                self._record("undrained")
             case Do.CUT_OFF:
-                self._left = self._node.connections
+                self._left = self.node.connections
                 if self._left:
                     log(f"the drain's time is up: {self._left} connections are cut off")
             case Do.EXIT:
@@ -223,11 +209,6 @@
                 self._record("stopped", {"left": self._left})
                 self._write_state()
 
-    async def _drain(self) -> None:
-        await self._node.drain(self._life.deadline, self._file.drain.announce_ms / 1e3)
-        if not self._node.connections:
-            self._events.put_nowait(Empty())
-
     async def _reload(self) -> None:
         """Take the file as it stands now, whole or not at all."""
         try:
@@ -247,15 +228,16 @@
 
     async def _adopt(self, file: OperatorFile, where: str) -> list[str]:
         """Go by another file, whole; what changed. Raises ConfigError or OSError with nothing changed."""
-        if problems := fixed(self._file, file, self._life.state is State.STARTING):
+        if problems := fixed(self._file, file, self.life.state is State.STARTING):
             raise ConfigError([f"{where}{problem}" for problem in problems])
         fit_sockets(file)
         lines = changes(self._file, file)
         # In a thread: a large description takes its time, and requests go on meanwhile.
-        deployment = await self._loop.run_in_executor(None, deploy, file, self._node.deployment)
-        await self._node.adopt(deployment)
+        deployment = await self.loop.run_in_executor(None, deploy, file, self.node.deployment)
+        await self.node.adopt(deployment)
         self._file = file
-        self._life.accept, self._life.deadline = file.drain.accept_ms / 1e3, file.drain.deadline_ms / 1e3
+        self.life.accept, self.life.deadline = file.drain.accept_ms / 1e3, file.drain.deadline_ms / 1e3
+        self.announce = file.drain.announce_ms / 1e3
         return lines
 
     def _prefix(self) -> str:
@@ -289,34 +271,34 @@
         for line in problems or lines or ["no change"]:
             log(f"reload refused, the old settings stay: {line}" if problems else f"reload: {line}")
         self._record("reload", {"ok": not problems, "lines": problems or lines})
-        if self._life.state is State.READY:
-            self._notifier.ready(self._life.state.value)
+        if self.life.state is State.READY:
+            self._notifier.ready(self.life.state.value)
         if self._leash is not None:
             self._leash.reloaded(problems)
-        self._events.put_nowait(Reloaded())
+        self.reloaded()
 
     # --- what others see --------------------------------------------------------------------------------
 
     def _tell(self) -> None:
         """The state file, and the service manager."""
-        state = self._life.state
-        if state is State.READY and not self._life.reloading:
+        state = self.life.state
+        if state is State.READY and not self.life.reloading:
             self._notifier.ready(state.value)
         self._write_state()
 
     def _write_state(self) -> None:
         told: dict[str, Any] = {
-            "state": "reloading" if self._life.reloading else self._life.state.value,
+            "state": "reloading" if self.life.reloading else self.life.state.value,
             "pid": os.getpid(),
             "name": self._file.gateway.name,
             "version": __version__,
             "config": str(self._path),
             "started_at": self._started_at,
             "at": time.time(),
-            "listen": [f"{host}:{port}" for host, port in self._node.clients.addresses],
-            "http": [f"{host}:{port}" for host, port in self._node.web.addresses] if self._node.web else [],
-            "connections": self._node.connections,
-            "owed": self._node.engine.owed(),
+            "listen": [f"{host}:{port}" for host, port in self.node.clients.addresses],
+            "http": [f"{host}:{port}" for host, port in self.node.web.addresses] if self.node.web else [],
+            "connections": self.node.connections,
+            "owed": self.node.engine.owed(),
             "reloads": self._reloads,
             "reload_problems": self._reload_problems,
             "totals": dict(self._tally.totals),
@@ -324,7 +306,7 @@
             "left": self._left,
             "fleet": {"gateways": (seen := self._file.view).gateways, "before": seen.before},
         }
-        if (guard := self._node.guard) is not None:
+        if (guard := self.node.guard) is not None:
             told["counter"] = guard.told()
         if self._file.boxes.etcd is not None:
             told["settings"] = {"revision": self._settings_revision, "problems": self._settings_problems}
@@ -346,13 +328,13 @@
             self._write_state()
 
     def _write_counts(self, last: bool) -> None:
-        names = self._node.deployment.places
+        names = self.node.deployment.places
         classes, plans = ({number: name for name, number in places.items()} for places in names)
         content = self._tally.read(classes, plans)
         self._quiet = 0 if content else self._quiet + 1
         if content or self._quiet >= QUIET_SPANS or last:
             self._quiet = 0
-            owed, connections = self._node.engine.owed(), self._node.connections
+            owed, connections = self.node.engine.owed(), self.node.connections
             counts = {"counts": [], "causes": {}, **content, "owed": owed, "connections": connections}
             self._record("counts", counts)
 
--- /dev/null
+++ b/lynxreel/fronts/draining.py
@@ -0,0 +1,69 @@
+"""The one way in which fronts lose their connections: for a while, as operators ask, or for good."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Collection
+from typing import Protocol
+
+LOOK = 0.01  # seconds between looks for connections that nothing is owed on, while a front ends
+ASIDE_LOOK = 0.05  # the same for a front that is set aside, for as long as that lasts
+ASIDE_ANNOUNCE = 0.4  # seconds in which idle connections stay open then: whoever asks by PING learns first
+
+
+class Ending(Protocol):
+    """A connection."""
+
+    def end(self) -> None:
+        """Close once nothing is owed, and nothing half read that may still be completed."""
+
+
+class Front(Protocol):
+    """What has connections."""
+
+    @property
+    def connections(self) -> Collection[Ending]:
+        """Those that are open."""
+
+
+class Draining:
+    """What becomes of a front's connections. While `closing`, each ends behind the last answer owed on it."""
+
+    def __init__(self, front: Front, loop: asyncio.AbstractEventLoop) -> None:
+        self._front, self._loop = front, loop
+        self.closing = False
+        self._aside: asyncio.Task[None] | None = None
+
+    def set_aside(self) -> None:
+        """Connections end, new ones as well, until `take_back`."""
+        if self._aside is None:
+            self._aside = self._loop.create_task(self._empty(ASIDE_ANNOUNCE, math.inf, ASIDE_LOOK))
+
+    def take_back(self) -> None:
+        """They stay open from now on."""
+        if self._aside is not None:
+            self._aside.cancel()
+            self._aside, self.closing = None, False
+
+    async def empty(self, announce: float, most: float) -> None:
+        """Until no connection is left, or for `most` seconds; the front takes no new ones any more.
+
+        For the first `announce` seconds a connection ends only behind an answer, so that whoever asks on one
+        is told, by the answer to a ping or to the request that would have crossed its end.
+        """
+        self.take_back()
+        await self._empty(announce, self._loop.time() + most, LOOK)
+
+    async def _empty(self, announce: float, last: float, look: float) -> None:
+        self.closing = True
+        await asyncio.sleep(announce)
+        while self._loop.time() < last and (self._front.connections or last == math.inf):
+            for connection in list(self._front.connections):
+                connection.end()
+            await asyncio.sleep(look)
+
+    def close(self) -> None:
+        """The end of the process."""
+        if self._aside is not None:
+            self._aside.cancel()
--- a/lynxreel/fronts/http.py
+++ b/lynxreel/fronts/http.py
@@ -23,6 +23,7 @@
 
 from lynxreel.engine.engine import Engine
 from lynxreel.fronts.forwarded import Network, told
+from lynxreel.fronts.draining import Draining
 from lynxreel.fronts.listeners import Door, Doors, OwnDoors
 from lynxreel.openapi.admission import Admission, Head, Rejected, Whole
 from lynxreel.openapi.repeats import Found, Repeats
@@ -381,7 +382,7 @@
         if status not in EMPTY:
             listed += [("Content-Type", kind)] if kind else []
             listed.append(("Content-Length", str(len(body))))
-        if self._ending or self.web.closing:
+        if self._ending or self.web.draining.closing:
             listed.append(("Connection", "close"))
         reason = (HTTPStatus(status).phrase if status in STATUSES else "").encode()
         out = http.send(h11.Response(status_code=status, headers=listed, reason=reason)) or b""
@@ -390,7 +391,7 @@
         out += http.send(h11.EndOfMessage()) or b""
         self.transport.write(out)
         self._http = None
-        if self._ending or self.web.closing or http.our_state is h11.MUST_CLOSE:
+        if self._ending or self.web.draining.closing or http.our_state is h11.MUST_CLOSE:
             self._close()
             return
         self._owes, self._since = bool(self._buffer), self.web.loop.time()
@@ -530,7 +531,7 @@
         self._doors = doors or OwnDoors(loop)
         self.engine, self.serving, self.loop = engine, serving, loop
         self.connections: set[Connection] = set()
-        self.closing = False
+        self.draining = Draining(self, loop)
         self._most = most
         self._listeners: dict[tuple[str, int], Door] = {}
         self._sweeping: asyncio.TimerHandle | None = None
@@ -563,15 +564,10 @@
             connection.look(now)
         self._sweeping = self.loop.call_later(SWEEP, self._sweep)
 
-    async def drain(self, most: float) -> None:
+    async def drain(self, most: float, announce: float = 0.0) -> None:
         """Close the listeners, and each connection as soon as nothing is owed on it; for `most` seconds."""
         await self.unlisten()
-        self.closing = True
-        last = self.loop.time() + most
-        while self.connections and self.loop.time() < last:
-            for connection in list(self.connections):
-                connection.end()
-            await asyncio.sleep(0.01)
+        await self.draining.empty(announce, most)
 
     async def unlisten(self) -> None:
         """Take no connections any more, but those that are ours already."""
@@ -582,6 +578,7 @@
         """The end."""
         for door in self._listeners.values():
             door.drop()
+        self.draining.close()
         if self._sweeping is not None:
             self._sweeping.cancel()
         for connection in list(self.connections):
--- a/lynxreel/fronts/resp2.py
+++ b/lynxreel/fronts/resp2.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, cast
 
 from lynxreel.engine.engine import Engine
+from lynxreel.fronts.draining import Draining
 from lynxreel.fronts.listeners import Door, Doors, OwnDoors
 from lynxreel.protocol import resp
 from mothgap.interface import Effect, Settings
@@ -22,12 +23,11 @@
 ARITY = {b"CALL.GET": 4, b"CALL.POST": 5}
 MOST_WORDS = 16  # in a command; longer than any that clients and their libraries send
 CUSTOMERS = 1 << 33
-HALF_READ = 1.0  # seconds that a stop waits for the rest of a command: longer than one is under way
-DRAIN_LOOK = 0.01  # seconds between looks for connections that nothing is owed on any more
+HALF_READ = 1.0  # seconds that a drain waits for a first command or the rest of one: longer than these travel
 MOST_OPEN = 64  # commands of one connection that wait for their answers; more are not read yet
 TURN = 64  # commands taken from one connection before others have their turn
 PAUSE = 0.05  # seconds without reading after a command that is no call: repeats must not take the others' CPU
-PATIENCE = 2.0  # seconds for a first command, for the rest of one, and for reading the answers
+PATIENCE = 2.5  # seconds for a first command, for the rest of one (slow ones take 2), and for reading answers
 SWEEP = 0.25  # seconds between looks for connections that have used that up
 IDLE_LEAST = 2.0  # seconds that one stays open after its last answer
 IDLE_PART = 0.25  # of the connections; of more that have idled for so long, the oldest are closed
@@ -158,6 +158,7 @@
         self._clients = clients
         self._reader = resp.Reader(MOST_WORDS)
         self._holds = 0
+        self._fresh = True  # nothing has come on it
         self._ending = False  # nothing more is read; closed once all is answered
         self.queue: deque[Call] = deque()
         self.transport: asyncio.Transport
@@ -169,6 +170,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Read what is whole; keep the rest, within bounds."""
+        self._fresh = False
         if not self._ending:
             self._reader.feed(data)
             self._read()
@@ -241,7 +243,7 @@
             self.transport.write(b"".join(ready))
         if not self.queue:
             self._clients.rest(self)
-            if self._ending or self._clients.closing:
+            if self._ending or self._clients.draining.closing:
                 self.end()
         if self._holds & self.FULL and not self._ending and len(self.queue) <= MOST_OPEN // 2:
             self._release(self.FULL)
@@ -260,22 +262,33 @@
         if not self._holds and not self._ending:
             self.transport.resume_reading()
 
-    def end(self, patient: bool = True) -> None:
-        """Close once nothing is owed and, for the patient, nothing is half read."""
-        if not self.queue and (self._ending or not patient or self._reader.empty()):
-            self._ending = True
-            if self.transport.is_closing():
+    def end(self) -> None:
+        """Close once nothing is owed, and nothing half read that may still be completed.
+
+        A request may be under way on one that nothing has come on; after an answer that is far less likely.
+        """
+        if self.queue:
+            return
+        if not self._ending and (self._fresh or not self._reader.empty()):
+            since = self._clients.waiting.get(self, -math.inf)
+            if self._clients.loop.time() - since < HALF_READ:
                 return
-            if self.transport.get_write_buffer_size():
-                self._clients.wait_for(self)  # closed when all is written, or cut off when that never happens
-            self.transport.close()
+        self._close()
+
+    def _close(self) -> None:
+        self._ending = True
+        if self.transport.is_closing():
+            return
+        if self.transport.get_write_buffer_size():
+            self._clients.wait_for(self)  # closed when all is written, or cut off when that never happens
+        self.transport.close()
 
     def overdue(self) -> None:
         """It has had its time for a command, or for reading its answers."""
         if self._holds & self.UNREAD or self.transport.is_closing():
             self.transport.abort()
         elif self._reader.empty():
-            self.end()
+            self._close()
         else:
             self.reject("the rest of the command did not come")
 
@@ -317,7 +330,7 @@
         self._sweeping = False
         self.port = 0
         self.leaving = False  # pings are told that this gateway takes no new work
-        self.closing = False  # each connection ends as soon as nothing is owed on it
+        self.draining = Draining(self, loop)
 
     async def listen(self, host: str, port: int) -> None:
         """Take connections at one more address from now on; an OSError where it can't be had."""
@@ -396,29 +409,22 @@
         """Where it listens."""
         return list(self._listeners)
 
-    async def drain(self, most: float, announce: float = 0.0) -> None:
-        """Close the listeners, and each connection as soon as nothing is owed on it; for `most` seconds.
+    def set_aside(self) -> None:
+        """Pings hear a no, and connections end, new ones as well, until `take_back`."""
+        self.leaving = True
+        self.draining.set_aside()
 
-        For the first `announce` seconds a connection ends only behind an answer, so that whoever asks on one
-        is told, by the answer to a ping or to the request that would have crossed its end.
-        """
+    def take_back(self) -> None:
+        """Clients are welcome again."""
+        self.leaving = False
+        self.draining.take_back()
+
+    async def drain(self, most: float, announce: float = 0.0) -> None:
+        """Close the listeners, and each connection as soon as nothing is owed on it; for `most` seconds."""
         await self.unlisten()
-        self.closing = True
-        now = self.loop.time()
-        patience, last = now + announce + HALF_READ, now + most
-        await asyncio.sleep(announce)
-        while self.connections and self.loop.time() < last:
-            for connection in list(self.connections):
-                connection.end(self.loop.time() < patience)
-            await asyncio.sleep(DRAIN_LOOK)
+        await self.draining.empty(announce, most)
 
     def cut_off(self) -> None:
         """End what is left. Guards the end of the process against a peer that never reads."""
         for connection in list(self.connections):
             connection.transport.abort()
-
-    async def stop(self, accept: float, most: float) -> None:
-        """Go on for a while, then drain; after `most` seconds more all requests have had their answers."""
-        await asyncio.sleep(accept)
-        await self.drain(most + HALF_READ)
-        self.cut_off()
--- a/lynxreel/node.py
+++ b/lynxreel/node.py
@@ -289,6 +289,18 @@
         """Of clients, on all fronts."""
         return len(self.clients.connections) + (len(self.web.connections) if self.web is not None else 0)
 
+    def set_aside(self) -> None:
+        """Keep no client until `take_back`: those that are here are served, and those that come are told."""
+        self.clients.set_aside()
+        if self.web is not None:
+            self.web.draining.set_aside()
+
+    def take_back(self) -> None:
+        """Clients are welcome again."""
+        self.clients.take_back()
+        if self.web is not None:
+            self.web.draining.take_back()
+
     async def drain(self, most: float, announce: float) -> None:
         """End all fronts, each connection as soon as nothing is owed on it; for `most` seconds."""
         fronts = [self.clients.drain(most, announce)]
@@ -320,6 +332,7 @@
         """The end: nothing is owed any more."""
         self.source.close()
         self.servers.close()
+        self.clients.draining.close()
         if self.web is not None:
             self.web.close()
         if self.guard is not None:
--- a/lynxreel/records/format.py
+++ b/lynxreel/records/format.py
@@ -17,6 +17,8 @@
     "started": "it takes requests",
     "reload": "ok, and lines: the changes, or the problems of a file that was refused",
     "leaving": "a stop has begun: connections are taken for a while",
+    "drained": "clients are sent away until undrained; connections: that were open",
+    "undrained": "clients are taken again",
     "draining": "no new connection is taken",
     "stopped": "the end; left: connections that were cut off",
     "counts": "by class and plan since the line before; causes of refusals and failures; owed, connections",
