--- a/lynxreel/__main__.py
+++ b/lynxreel/__main__.py
@@ -14,6 +14,7 @@
 
 from lynxreel.daemon.instance import Instance
 from lynxreel.daemon.lifecycle import Ask, Do, Life
+from lynxreel.fronts.listeners import OwnDoors, inherited
 from lynxreel.fronts.resp2 import HALF_READ
 from lynxreel.log import log
 from lynxreel.node import Deployment, Node, PeerPlan
@@ -33,8 +34,8 @@
     return config
 
 
-def read_deployment(config: dict[str, Any]) -> Deployment:
-    """What the configuration tells of the deployment."""
+def read_deployment(config: dict[str, Any], beside: bool = False) -> Deployment:
+    """What the configuration tells of the deployment. `beside`: an older process of it may run still."""
     settings = read_settings(config["settings"])
     counter = None if settings.counter is None else read_address(config["counter"])
     discovery, listen = read_address(config["discovery"]), read_address(config["listen"])
@@ -42,7 +43,7 @@
     peers = None
     if settings.limits.peers and "peers" in config and "peer_listen" in config:
         addresses = tuple(read_address(address) for address in config["peers"])
-        peers = PeerPlan(read_address(config["peer_listen"]), addresses)
+        peers = PeerPlan(read_address(config["peer_listen"]), addresses, beside)
     else:  # what is asked of others would wait for answers that can't come
         limits = dataclasses.replace(settings.limits, peers=False)
         settings = dataclasses.replace(settings, limits=limits)
@@ -54,12 +55,17 @@
     """The platform's program: its configuration says where to listen, and SIGHUP where to look."""
 
     def __init__(self, config: dict[str, Any], loop: asyncio.AbstractEventLoop) -> None:
-        deployment = read_deployment(config)
+        given = inherited("EDGE_LISTEN_FD")
+        self._shared = given is not None  # others may accept there, before this process and after it
+        deployment = read_deployment(config, self._shared)
         longest = max(cls.deadline for cls in deployment.settings.classes) / 1e6
-        super().__init__(Life(ACCEPT, longest + HALF_READ), loop)
+        super().__init__(Life(0.0 if self._shared else ACCEPT, longest + HALF_READ), loop)
         self._operator = config.get("operator") or os.environ.get("EDGE_OPERATOR", "")
         known = read_list(config["known"], deployment.names, ListKind.CACHED)
-        self.node = Node(deployment, int(config["seed"], 16), known, loop)
+        doors = OwnDoors(loop, {deployment.listen[0]: given} if given is not None else {})
+        self.node = Node(deployment, int(config["seed"], 16), known, loop, doors=doors)
+        if self._shared:
+            self.node.hold(False)  # until it is ready: the process before it holds this gateway's share
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
@@ -74,6 +80,8 @@
 
     async def _start(self) -> None:
         await self.node.start()
+        if self._shared:
+            self.node.hold(True)
         self.started()
 
     def do(self, do: Do) -> None:
@@ -82,6 +90,8 @@
             case Do.RELOAD:
                 self._move()
                 self.reloaded()
+            case Do.CLOSE if self._shared:
+                self.node.hold(False)  # the process after it is ready
             case Do.CUT_OFF:
                 self.node.clients.cut_off()
 
--- a/lynxreel/fronts/listeners.py
+++ b/lynxreel/fronts/listeners.py
@@ -195,6 +195,21 @@
     return found
 
 
+def inherited(variable: str, environment: Mapping[str, str] = os.environ) -> socket.socket | None:
+    """The listener whose descriptor this variable tells, which whoever started this process goes on holding.
+
+    None where there is no such variable; a ValueError where the descriptor is no TCP listener.
+    """
+    told = environment.get(variable, "")
+    if not told:
+        return None
+    if not told.isdigit():
+        raise ValueError(f"{variable}: {told!r} is no descriptor")
+    own = listener(int(told))
+    own.set_inheritable(False)
+    return own
+
+
 def listener(descriptor: int) -> socket.socket:
     """The listener of a descriptor; a ValueError where it is none that a front can use."""
     try:
--- a/lynxreel/node.py
+++ b/lynxreel/node.py
@@ -45,6 +45,7 @@
 
     listen: Address
     addresses: tuple[Address, ...]
+    beside: bool = False  # an older process of this gateway may listen there still
 
 
 @dataclass(frozen=True)
@@ -203,7 +204,7 @@
         Raises an OSError where an address is taken.
         """
         if self.peers is not None and self.deployment.peers is not None:
-            await self.peers.open(self.deployment.peers.listen)
+            await self.peers.open(self.deployment.peers.listen, self.deployment.peers.beside)
         await self.warm(patience)
         await self.open()
         gc.freeze()  # what the start has made lives on: collections need not look at it again
--- a/lynxreel/peers/datagrams.py
+++ b/lynxreel/peers/datagrams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable, Sequence
 from typing import cast
 
@@ -28,9 +29,21 @@
         self._second, self._heard = 0, 0
         self.dropped = {"stranger": 0, "too long": 0, "too many": 0, "not sent": 0}  # datagrams, by cause
 
-    async def open(self, listen: Address) -> None:
-        """Listen. Raises an OSError where the address is taken."""
-        await self._loop.create_datagram_endpoint(lambda: self, local_addr=listen)
+    async def open(self, listen: Address, beside: bool = False) -> None:
+        """Listen. Raises an OSError where the address is taken.
+
+        `beside`: also where an older process of this gateway does. The system brings datagrams to the one
+        that was bound last.
+        """
+        own = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            own.setblocking(False)
+            own.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, beside)
+            own.bind(listen)
+        except OSError:
+            own.close()
+            raise
+        await self._loop.create_datagram_endpoint(lambda: self, sock=own)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Up."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -56,6 +56,26 @@
             end.close()
 
 
+def test_beside_an_older_process_the_newer_one_hears_and_without_that_word_the_address_is_taken() -> None:
+    async def scenario() -> None:
+        loop, places = asyncio.get_running_loop(), free()
+        heard: list[asyncio.Queue[PeerMessage]] = [asyncio.Queue() for _ in range(3)]
+        other = Peers(places, 0, heard[0].put_nowait, loop)
+        older, newer = (Peers(places, 1, queue.put_nowait, loop) for queue in heard[1:])
+        await other.open(places[0])
+        await older.open(places[1], beside=True)
+        with pytest.raises(OSError):
+            await newer.open(places[1])
+        await newer.open(places[1], beside=True)
+        other.tell(1, b"x")
+        assert await heard[2].get() == PeerMessage(0, b"x")
+        assert heard[1].empty()
+        for end in (older, newer, other):
+            end.close()
+
+    run(scenario)
+
+
 def test_what_one_says_the_other_hears_with_its_number() -> None:
     async def scenario() -> None:
         async with Two(asyncio.get_running_loop()) as two:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -51,12 +51,15 @@
         super().__exit__(kind, *rest)
 
 
-def start(tmp_path: Path, text: str | None) -> Ended:
+def start(tmp_path: Path, text: str | None, listener: socket.socket | None = None) -> Ended:
+    """`listener`: one that the process inherits, as the platform hands it out."""
     (tmp_path / "config.json").write_text(text or "")
     env = {**os.environ, "EDGE_CONFIG": str(tmp_path / ("config.json" if text is not None else "none.json"))}
-    return Ended(
-        ["/bin/sh", "-c", RUN], cwd=ROOT, env=env, stdout=subprocess.PIPE, stderr=subprocess.PIPE
-    )
+    kept = () if listener is None else (listener.fileno(),)
+    if listener is not None:
+        env["EDGE_LISTEN_FD"] = str(listener.fileno())
+    pipe = subprocess.PIPE
+    return Ended(["/bin/sh", "-c", RUN], cwd=ROOT, env=env, pass_fds=kept, stdout=pipe, stderr=pipe)
 
 
 def connect(port: int, process: subprocess.Popen[bytes]) -> socket.socket:
