--- a/lynxreel/__main__.py
+++ b/lynxreel/__main__.py
@@ -24,6 +24,7 @@
 from mothgap.settings import read_names, read_settings
 
 ACCEPT = 0.5  # seconds that new connections are taken after SIGTERM
+HELD_PART = 0.125  # of the memory limit, for values that are passed on: two processes may share it
 SIGNALS = {signal.SIGHUP: Ask.RELOAD, signal.SIGTERM: Ask.STOP, signal.SIGINT: Ask.STOP}
 
 
@@ -48,7 +49,8 @@
         limits = dataclasses.replace(settings.limits, peers=False)
         settings = dataclasses.replace(settings, limits=limits)
     names = read_names(config["settings"])
-    return Deployment(settings, names, (listen,), discovery, counter, sockets, peers=peers)
+    held = int(float(config["limits"].get("memory_mb", 64)) * (1 << 20) * HELD_PART)
+    return Deployment(settings, names, (listen,), discovery, counter, sockets, held=held, peers=peers)
 
 
 class Program(Instance):
--- a/lynxreel/backends/pools.py
+++ b/lynxreel/backends/pools.py
@@ -10,6 +10,9 @@
 from typing import Protocol, cast
 
 from lynxreel.engine.engine import Attempt, Engine
+from lynxreel.relay.budget import MOST as MOST_READ
+from lynxreel.relay.budget import Budget
+from lynxreel.relay.stream import Stream
 from mothgap.interface import Effect, Member, Result, Settings, State
 
 AGE = 0.025  # seconds idle in the first step of a table of ages; each further step is twice as long
@@ -74,9 +77,11 @@
         """A connection that has not come up yet."""
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """A connection to a server. It carries one attempt at a time, so giving one up harms no other.
 
+    What an attempt brings may be a stream, which goes on when the attempt has ended.
+
     What is written and read on it is for the wire that made it: `_request`, `_answer`, `_rest`, `_broken`.
     """
 
@@ -87,6 +92,8 @@
         self._unwritten = False  # part of the request has not left this process
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
+        self.stream: Stream | None = None
+        self._read_most = MOST_READ
         self.idle_since = 0.0
         self.kept: float | None = None  # how long it had idled before its attempt, until that is answered
         self._dropped = False
@@ -145,14 +152,57 @@
         """All bytes have left."""
         self._unwritten = False
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Where to read to. Guards memory: connections share it, and no read brings more than is wanted."""
+        servers = self.pool.servers
+        return servers.buffer[: (self.stream is not None and self._read_most) or servers.budget.read]
+
+    def buffer_updated(self, count: int) -> None:
+        """So many bytes have been read."""
+        self.data_received(bytes(self.pool.servers.buffer[:count]))
+
+    def begin(self, length: int) -> bool:
+        """The answer's value is too large to be held: it goes to the client as it comes. False: it can't."""
+        attempt = self.attempt
+        if attempt is None or not attempt.call.streams:
+            return False
+        self.attempt, self.stream = None, Stream(length, self.pool.servers.budget, self)
+        self.pool.servers.end(attempt, Result.OK, self.stream)
+        return True
+
+    def read_on(self, most: int) -> None:
+        """Read so many bytes at a time from now on; 0: none."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        if most > 0 >= self._read_most:
+            self.transport.resume_reading()
+        elif self._read_most > 0 >= most:
+            self.transport.pause_reading()
+        self._read_most = most
+
+    def abandon(self) -> None:
+        """Nobody wants the rest of the stream."""
+        self.stream = None
+        self.drop()
+
     def data_received(self, data: bytes) -> None:
         """An answer, or a part of one; anything else ends the connection."""
-        attempt = self.attempt
         self.pool.silent = 0
         self.note(False)
         end = self._answer(data)
-        if end is None and attempt is not None:
+        if end is None and (self.attempt is not None or self.stream is not None):
             return
+        if (stream := self.stream) is not None and end is not None:
+            whole = end.result is Result.OK
+            good = whole and end.known and self._rest() and not self._unwritten
+            self.stream, self._read_most = None, MOST_READ
+            stream.ended(whole)
+            if good and self.usable():
+                self.pool.give(self)
+            else:
+                self.drop()
+            return
+        attempt = self.attempt
         # It is used again only after an answer that is known, with nothing behind it.
         good = attempt is not None and end is not None and end.known and self._rest() and not self._unwritten
         self.attempt = None
@@ -181,6 +231,9 @@
         """Ended by either side. An attempt has never run only if its last byte was still here."""
         self.transport = None
         self.pool.forget(self)
+        if (stream := self.stream) is not None:
+            self.stream = None
+            stream.ended(False)
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
             self.note(True)
@@ -241,9 +294,11 @@
 
     def __init__(
         self, engine: Engine, settings: Settings, idle: int, most: int, loop: asyncio.AbstractEventLoop,
-        wire: Wire,
+        wire: Wire, budget: Budget,
     ) -> None:  # fmt: skip
-        self.loop, self.wire = loop, wire
+        """`budget`: what may be held of values that are passed on as they come."""
+        self.loop, self.wire, self.budget = loop, wire, budget
+        self.buffer = memoryview(bytearray(MOST_READ))  # what is read is worked off before the next read
         self._engine = engine
         self.ages = Ages()
         self.open = 0  # connections, in all pools
@@ -365,7 +420,9 @@
         if pool.silent >= SILENT:
             pool.drop_idle(self.loop.time())
 
-    def end(self, attempt: Attempt, result: Result, value: bytes = b"", load: tuple[float, ...] = ()) -> None:
+    def end(
+        self, attempt: Attempt, result: Result, value: bytes | Stream = b"", load: tuple[float, ...] = ()
+    ) -> None:
         """An attempt's one outcome."""
         out = self._out.pop(attempt, None)
         if out is not None:
--- a/lynxreel/backends/resp2.py
+++ b/lynxreel/backends/resp2.py
@@ -57,6 +57,15 @@
         try:
             self._reader.feed(data)
             answer = self._reader.next()
+            while self._reader.large:
+                if self.stream is None and not self.begin(self._reader.large):
+                    return End(Result.ERROR, known=False)
+                piece = self._reader.piece()
+                if self.stream is not None and piece:
+                    self.stream.piece(piece)
+                if self._reader.large or self.stream is None:
+                    return None
+                answer = self._reader.next()
         except resp.Malformed:
             return End(Result.ERROR, known=False)
         return None if answer is None else self._wire.end(answer)
--- a/lynxreel/config/deploy.py
+++ b/lynxreel/config/deploy.py
@@ -26,7 +26,7 @@
 FIXED = (  # only at a start
     "gateway.name", "gateway.number", "gateway.workers", "supervisor", "state", "records", "operations",
     "counter.guard", "counter.beat_ms", "boxes.file", "boxes.etcd", "boxes.most_removed",
-    "boxes.removed_within_ms", "http.listen", "http.repeat_keys", "http.repeat_ms",
+    "boxes.removed_within_ms", "limits.held_mb", "http.listen", "http.repeat_keys", "http.repeat_ms",
 )  # fmt: skip
 Known = TypeVar("Known")
 
@@ -86,6 +86,7 @@
         _http(file, names, settings, before) if file.http is not None else None,
         max(1, file.gateway.workers),
         seen.part(file.gateway.number),
+        int(limits.held_mb * 1e6),
     )
 
 
--- a/lynxreel/engine/engine.py
+++ b/lynxreel/engine/engine.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from lynxreel.protocol.exchange import Exchange
+    from lynxreel.relay.stream import Stream
 
 WAY = 10_000  # microseconds of a client's patience kept back for the way there and back and for loop lag
 LATE = 5_000  # microseconds past the deadline told to the module at which the answer is given without it
@@ -33,6 +34,7 @@
     spread: int
     first: int
     retry: bool
+    streams: bool  # it may be served a value that is passed on as it comes
 
     def command(self, wait: int) -> bytes:
         """The command for a server, which is told how many microseconds the gateway waits."""
@@ -40,8 +42,8 @@
     def exchange(self, wait: int) -> Exchange:
         """The same for a server that speaks HTTP."""
 
-    def served(self, value: bytes) -> None:
-        """Answer with a server's value; an `Answer` where that speaks HTTP."""
+    def served(self, value: bytes | Stream) -> None:
+        """Answer with a server's value; an `Answer` where that speaks HTTP, a `Stream` where it is large."""
 
     def refused(self, wait: int) -> None:
         """Answer that it may come again, after so many microseconds if not 0."""
@@ -199,9 +201,9 @@
         self._schedule()
 
     def finished(
-        self, attempt: Attempt, result: api.Result, value: bytes = b"", load: tuple[float, ...] = ()
+        self, attempt: Attempt, result: api.Result, value: bytes | Stream = b"", load: tuple[float, ...] = ()
     ) -> None:
-        """An attempt has ended. The first good answer goes to the client."""
+        """An attempt has ended. The first good answer goes to the client; a large one has only begun."""
         if attempt.over:
             return
         attempt.over = True
@@ -209,6 +211,8 @@
         attempt.held.out -= 1
         if result is api.Result.OK and (closed := self._close(attempt.request, "served")) is not None:
             closed.call.served(value)
+        elif not isinstance(value, bytes):
+            value.gone()  # nobody waits for it
         self._forget_id(attempt.held)
         elapsed = self.clock.now() - attempt.started
         final = attempt.held.over
--- a/lynxreel/fronts/http.py
+++ b/lynxreel/fronts/http.py
@@ -22,8 +22,8 @@
 import h11
 
 from lynxreel.engine.engine import Engine
-from lynxreel.fronts.forwarded import Network, told
 from lynxreel.fronts.draining import Draining
+from lynxreel.fronts.forwarded import Network, told
 from lynxreel.fronts.listeners import Door, Doors, OwnDoors
 from lynxreel.openapi.admission import Admission, Head, Rejected, Whole
 from lynxreel.openapi.repeats import Found, Repeats
@@ -31,6 +31,7 @@
 from lynxreel.protocol import resp
 from lynxreel.protocol.address import Address
 from lynxreel.protocol.exchange import Answer, Exchange, Fields
+from lynxreel.relay.stream import Stream
 
 MOST_HEAD = 16_384  # bytes of a request's head
 MOST_HEADERS = 100
@@ -119,8 +120,9 @@
         how = boxes.host, boxes.turned_away
         return Exchange(head.route.method, head.target, tuple(fields), self.whole.body, *how)
 
-    def served(self, value: bytes) -> None:
+    def served(self, value: bytes | Stream) -> None:
         """Answer with a box's value."""
+        assert isinstance(value, bytes)  # as `streams` says
         if isinstance(value, Answer):
             kind = next((text for name, text in value.fields if name == "Content-Type"), "")
             fields = tuple(pair for pair in value.fields if pair[0] != "Content-Type")
@@ -128,6 +130,8 @@
         else:
             self._end(200, _kind(value), value, (), True)
 
+    streams = False  # what a client gets by HTTP has its length and its end known
+
     def refused(self, wait: int) -> None:
         """Answer that it may come again, after so many microseconds if not 0."""
         headers: dict[str, str] = {}
--- a/lynxreel/fronts/resp2.py
+++ b/lynxreel/fronts/resp2.py
@@ -14,6 +14,7 @@
 from lynxreel.fronts.draining import Draining
 from lynxreel.fronts.listeners import Door, Doors, OwnDoors
 from lynxreel.protocol import resp
+from lynxreel.relay.stream import Stream
 from mothgap.interface import Effect, Settings
 from mothgap.settings import Names
 
@@ -28,6 +29,7 @@
 TURN = 64  # commands taken from one connection before others have their turn
 PAUSE = 0.05  # seconds without reading after a command that is no call: repeats must not take the others' CPU
 PATIENCE = 2.5  # seconds for a first command, for the rest of one (slow ones take 2), and for reading answers
+STALL = 10.0  # seconds without a byte of a large value, from the server or to the client
 SWEEP = 0.25  # seconds between looks for connections that have used that up
 IDLE_LEAST = 2.0  # seconds that one stays open after its last answer
 IDLE_PART = 0.25  # of the connections; of more that have idled for so long, the oldest are closed
@@ -73,12 +75,13 @@
 class Call:
     """One command of a client, from its reading to its answer."""
 
+    streams = True
     __slots__ = ("cls", "connection", "customer", "first", "id", "patience", "plan", "reply", "request",
                  "retry", "spread", "units", "words")  # fmt: skip
 
     def __init__(self, connection: Connection) -> None:
         self.connection = connection
-        self.reply: bytes | None = None
+        self.reply: bytes | Stream | None = None
         self.request = 0  # the engine's number for it; 0 where the engine never saw it
         self.words: list[bytes] = []
 
@@ -132,9 +135,9 @@
         )  # fmt: skip
         return Exchange("POST", "/lynxreel/call", headers, b"".join(self.words[4:]), value=True)
 
-    def served(self, value: bytes) -> None:
+    def served(self, value: bytes | Stream) -> None:
         """Answer with a server's value."""
-        self._answer(b"$%d\r\n%b\r\n" % (len(value), value))
+        self._answer(value if isinstance(value, Stream) else b"$%d\r\n%b\r\n" % (len(value), value))
 
     def refused(self, wait: int) -> None:
         """Answer that it may come again, after so many microseconds if not 0."""
@@ -144,7 +147,7 @@
         """Answer that it failed."""
         self._answer(b"-ERR failed\r\n")
 
-    def _answer(self, reply: bytes) -> None:
+    def _answer(self, reply: bytes | Stream) -> None:
         self.reply, self.request = reply, 0
         self.connection.flush()
 
@@ -160,6 +163,8 @@
         self._holds = 0
         self._fresh = True  # nothing has come on it
         self._ending = False  # nothing more is read; closed once all is answered
+        self._stream: Stream | None = None  # what the first in the queue is being answered with
+        self._whole = False  # all of that has been written, perhaps not sent
         self.queue: deque[Call] = deque()
         self.transport: asyncio.Transport
 
@@ -235,12 +240,17 @@
 
     def flush(self) -> None:
         """Write the answers whose turn it is."""
+        if self._stream is not None:
+            return
         ready = []
-        while self.queue and (reply := self.queue[0].reply) is not None:
+        while self.queue and isinstance(reply := self.queue[0].reply, bytes):
             self.queue.popleft()
             ready.append(reply)
         if ready and not self.transport.is_closing():
             self.transport.write(b"".join(ready))
+        if self.queue and isinstance(stream := self.queue[0].reply, Stream):
+            self._begin(stream)
+            return
         if not self.queue:
             self._clients.rest(self)
             if self._ending or self._clients.draining.closing:
@@ -248,6 +258,56 @@
         if self._holds & self.FULL and not self._ending and len(self.queue) <= MOST_OPEN // 2:
             self._release(self.FULL)
 
+    def _begin(self, stream: Stream) -> None:
+        """The turn of a large value. With the limit at 0, `resume_writing` tells when what came is sent."""
+        self._stream, self._whole = stream, False
+        if self.transport.is_closing():
+            stream.gone()
+            return
+        self.transport.set_write_buffer_limits(high=0)
+        if self._holds & self.UNREAD:  # the look whether the value goes on takes that one's place
+            self._clients.waiting.pop(self, None)
+            self._release(self.UNREAD)
+        self._clients.streams[self] = (0, self._clients.loop.time())
+        self.transport.write(b"$%d\r\n" % stream.length)
+        stream.attach(self)
+
+    def pass_on(self, data: bytes) -> int:
+        """A piece of a large value; how much is still on hand."""
+        if self.transport.is_closing():
+            return 0
+        self.transport.write(data)
+        return self.transport.get_write_buffer_size()
+
+    def finish(self) -> None:
+        """The large value is whole; its last two bytes tell the client so."""
+        if self.transport.is_closing():
+            return
+        self._whole = True
+        self.transport.write(b"\r\n")
+        if not self.transport.get_write_buffer_size():
+            self._streamed()
+
+    def _streamed(self) -> None:
+        """It has all left this process."""
+        assert self._stream is not None
+        self._stream.gone()
+        self._stream = None
+        self._clients.streams.pop(self, None)
+        self.transport.set_write_buffer_limits()
+        self.queue.popleft()
+        self.flush()
+
+    def break_off(self) -> None:
+        """The large value will never be whole: an end in its middle tells the client so."""
+        self.transport.abort()
+
+    @property
+    def sent(self) -> int:
+        """Bytes of the large value that have left this process."""
+        assert self._stream is not None
+        return self._stream.passed - self.transport.get_write_buffer_size()
+
     def _hold(self, why: int) -> None:
         if not self._holds and not self.transport.is_closing():
             self.transport.pause_reading()
@@ -294,11 +354,19 @@
 
     def pause_writing(self) -> None:
         """Guards memory: a client that does not read its answers is not read either."""
+        if self._stream is not None:
+            return  # it is the server that is not read
         self._hold(self.UNREAD)
         self._clients.wait_for(self, again=True)
 
     def resume_writing(self) -> None:
         """It reads again."""
+        if self._stream is not None:
+            if self._whole:
+                self._streamed()
+            else:
+                self._stream.drained(0)
+            return
         self._clients.waiting.pop(self, None)
         self._release(self.UNREAD)
 
@@ -309,6 +377,8 @@
         for call in self.queue:
             if call.request:
                 self._clients.engine.gone(call.request)
+            elif isinstance(call.reply, Stream):
+                call.reply.gone()
         self.queue.clear()
 
 
@@ -324,6 +394,7 @@
         self._doors = doors or OwnDoors(loop)
         self.connections: set[Connection] = set()
         self.waiting: dict[Connection, float] = {}  # who owes a command, or to read answers; since when
+        self.streams: dict[Connection, tuple[int, float]] = {}  # who gets a large value; how much, since when
         self.idle: dict[Connection, float] = {}  # who has been answered, and when; the oldest first
         self._most = most
         self._listeners: dict[tuple[str, int], Door] = {}
@@ -383,6 +454,7 @@
         self.connections.discard(connection)
         self.waiting.pop(connection, None)
         self.idle.pop(connection, None)
+        self.streams.pop(connection, None)
 
     def sweep(self) -> None:
         """End the connections whose time for what they owe is up, and those that have idled long, if many.
@@ -395,6 +467,11 @@
                 break
             del self.waiting[connection]
             connection.overdue()
+        for connection, (sent, since) in list(self.streams.items()):
+            if (more := connection.sent) > sent:
+                self.streams[connection] = (more, self.loop.time())
+            elif self.loop.time() - since > STALL:
+                connection.break_off()
         late = self.loop.time() - IDLE_LEAST
         most = len(self.idle) - int(self._most * IDLE_PART)
         for connection, since in list(islice(self.idle.items(), max(0, most))):
--- a/lynxreel/node.py
+++ b/lynxreel/node.py
@@ -18,6 +18,7 @@
 from lynxreel.fronts.resp2 import Clients, Terms
 from lynxreel.peers.datagrams import Peers
 from lynxreel.protocol.address import Address
+from lynxreel.relay.budget import Budget
 from lynxreel.sources.backoff import Backoff
 from lynxreel.sources.platform import NOWHERE, Discovery
 from mothgap.interface import ClockShift, ListKind, Member, Members, Settings, State
@@ -64,6 +65,7 @@
     http: HttpPlan | None = None
     workers: int = 1  # instances behind each address
     part: float = 1.0  # of its even share of ceilings that this instance holds
+    held: int = 16 << 20  # bytes that may be held of values that are passed on as they come
     peers: PeerPlan | None = None  # where `settings.limits.peers` allows messages between gateways
 
 
@@ -81,7 +83,9 @@
         servers, clients = self._parts(deployment.sockets)
         settings, names = deployment.settings, deployment.names
         wire = self._wire(deployment)
-        self.servers = self.engine.backend = Servers(self.engine, settings, names.idle, servers, loop, wire)
+        budget = Budget(deployment.held)
+        self.servers = Servers(self.engine, settings, names.idle, servers, loop, wire, budget)
+        self.engine.backend = self.servers
         self.counter: Counter | RedisCounter | None = None
         self._counted_at: Address | Options | None = None
         self.guard: Guarded | None = None
--- a/lynxreel/protocol/resp.py
+++ b/lynxreel/protocol/resp.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 MOST_VALUE = 64 * 1024  # bytes in a string
+MOST_STREAM = 4 * 1024 * 1024  # bytes in an answer's value, where that is passed on as it comes
 MOST_MESSAGE = MOST_VALUE + 4 * 1024  # bytes in all strings of a message: one value and what goes with it
 MOST_HEADER = 16  # bytes in the line of a count or a length
 MOST_LINE = 512  # bytes in an error line
@@ -25,10 +26,12 @@
 class Reader:
     """Reads flat arrays of strings; where they are answers, also error lines, and items that are no strings.
 
-    An item that is whole but no string (null, a number, a line) is given as None.
+    An item that is whole but no string (null, a number, a line) is given as None. An answer's first string
+    may be larger than a message: `large` is then what is missing of it, `piece` gives it as it comes, and in
+    the array it is empty.
     """
 
-    __slots__ = ("_answers", "_at", "_bytes", "_data", "_items", "_length", "_missing", "_most")
+    __slots__ = ("_answers", "_at", "_bytes", "_data", "_items", "_length", "_missing", "_most", "large")
 
     def __init__(self, most: int, answers: bool = False) -> None:
         self._most, self._answers = most, answers
@@ -37,6 +40,7 @@
         self._missing = 0  # items of the array at hand that have not come
         self._length = -1  # of the string at hand; -1 before it is known
         self._bytes = 0  # announced for the array at hand
+        self.large = 0
 
     def feed(self, data: bytes) -> None:
         """Take what has come."""
@@ -47,6 +51,13 @@
         """True between messages, with nothing behind the last."""
         return self._at >= len(self._data) and not self._missing
 
+    def piece(self) -> bytes:
+        """What has come of the large string, and takes it away from what is missing of it."""
+        piece = self._data[self._at : self._at + self.large]
+        self._at += len(piece)
+        self.large -= len(piece)
+        return piece
+
     def next(self) -> list[bytes | None] | bytes | None:
         """The next message: an array, or an error line without its first byte; None until more has come."""
         if not self._missing:
@@ -75,10 +86,17 @@
                     raise Malformed("not a string")
                 self._items.append(None)
                 return True
-            self._length = self._number(line, MOST_VALUE)
+            if self._answers and not self._items:
+                self._length = self._number(line, MOST_STREAM)
+                if self._length > MOST_VALUE:
+                    self.large, self._length = self._length, 0
+            else:
+                self._length = self._number(line, MOST_VALUE)
             self._bytes += self._length
             if self._bytes > MOST_MESSAGE:
                 raise Malformed("too much for one message")
+        if self.large:
+            return False
         end = self._at + self._length
         if len(self._data) < end + 2:
             return False
