--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -250,7 +250,7 @@
     monkeypatch.setattr("lynxreel.fronts.resp2.HALF_READ", 0.2)
 
     async def scenario(heard: Heard, clients: Clients, connect: Callable[[], Awaitable[Ends]]) -> None:
-        half, silent, late = await connect(), await connect(), await connect()
+        half, silent, late, new = [await connect() for _ in range(4)]
         half[1].write(call(1)[:-5])
         late[1].write(call(2)[:-5])
         clients.set_aside()
@@ -258,6 +258,9 @@
         late[1].write(call(2)[-5:])  # it was to be completed, and is taken
         (await heard.calls.get()).served(b"y")
         assert await late[0].read() == b"$1\r\ny\r\n"
+        new[1].write(call(3))  # it was under way when the drain began
+        (await heard.calls.get()).served(b"z")
+        assert await new[0].read() == b"$1\r\nz\r\n"
         assert await half[0].read() == b""
         assert await silent[0].read() == b""
 
