--- a/bench/peers.py
+++ b/bench/peers.py
@@ -1,7 +1,7 @@
 """The cheapest peers there can be, as one process: boxes that answer at once, a counter, a list of boxes.
 
-`python -m bench.peers BOXES [BOX ...]` prints one line of JSON with their addresses. Its list has those other
-boxes, too.
+`python -m bench.peers BOXES [value=BYTES] [BOX ...]` prints one line of JSON with their addresses. Its list
+has those other boxes, too. Values have so many bytes, or are the request's id.
 """
 
 from __future__ import annotations
@@ -26,6 +26,8 @@
 class Box(asyncio.Protocol):
     """Answers each command with its id, and HTTP with a word. A request comes in one piece."""
 
+    value = b""  # in the id's place
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Up."""
         self._transport = cast(asyncio.Transport, transport)
@@ -35,7 +37,7 @@
         if not data.startswith(b"*"):
             self._transport.write(BY_HTTP)
             return
-        number = data.split(b"\r\n", 7)[6]
+        number = self.value or data.split(b"\r\n", 7)[6]
         self._transport.write(b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(number), number))
 
 
@@ -65,6 +67,8 @@
 async def main(count: int, others: list[str]) -> None:
     """Until the process is ended."""
     loop = asyncio.get_running_loop()
+    if others and others[0].startswith("value="):
+        Box.value = bytes(int(others.pop(0)[6:]))
     servers = [await loop.create_server(Box, HOST, 0, backlog=1024) for _ in range(count)]
     counter = await loop.create_server(Counter, HOST, 0)
     registry = Registry(Faults(1), Clock(loop))
--- a/lynxreel/relay/budget.py
+++ b/lynxreel/relay/budget.py
@@ -40,10 +40,15 @@
             self._streams[stream] = held
 
     def allowance(self, stream: Hashable) -> int:
-        """Bytes that may be read of it now; 0: it must wait until less of it is on hand."""
+        """Bytes that may be read of it now; 0: it must wait until less of it is on hand.
+
+        Less than LEAST is not worth a read: a slow reader would be served in ever smaller ones.
+        """
         held = self._streams.get(stream, 0)
-        least = LEAST if not held else 0
-        return max(least, min(self.read - held, self.whole - self.held))
+        room = min(self.read - held, self.whole - self.held)
+        if room >= LEAST:
+            return room
+        return 0 if held else LEAST
 
     @property
     def read(self) -> int:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -47,6 +47,15 @@
             assert bytes_held or budget.allowance(number) >= LEAST
 
 
+def test_what_is_left_of_a_share_is_not_read_in_crumbs() -> None:
+    budget = Budget(1 << 20)
+    budget.open("a")
+    budget.hold("a", budget.read - LEAST + 1)
+    assert budget.allowance("a") == 0
+    budget.hold("a", budget.read - LEAST)
+    assert budget.allowance("a") == LEAST
+
+
 def test_a_lone_stream_that_holds_its_share_reads_nothing_until_some_has_left() -> None:
     budget = Budget(1 << 20)
     budget.open("a")
