Strings in many pieces are read in linear time; courses of a life; calls while crowds hold all descriptors

protocol/resp.py joined its buffer anew with each piece: 64 KiB in pieces of 97 bytes made 676 buffers for each string. What is left over is now added to in place. New tests: all courses of a life up to five steps, READY within 1 s beside 600 idle and half-open connections in 256 descriptors.

--- a/lynxreel/protocol/resp.py
+++ b/lynxreel/protocol/resp.py
@@ -35,7 +35,8 @@
 
     def __init__(self, most: int, answers: bool = False) -> None:
         self._most, self._answers = most, answers
-        self._data, self._at = b"", 0  # what has come, and how much of it has been read
+        self._data: bytes | bytearray = b""  # what has come
+        self._at = 0  # how much of that has been read
         self._items: list[bytes | None] = []
         self._missing = 0  # items of the array at hand that have not come
         self._length = -1  # of the string at hand; -1 before it is known
@@ -44,8 +45,16 @@
 
     def feed(self, data: bytes) -> None:
         """Take what has come."""
-        self._data = self._data[self._at :] + data if self._at < len(self._data) else data
-        self._at = 0
+        if self._at >= len(self._data):
+            self._data, self._at = data, 0
+            return
+        # Added to where it is: joined anew, a string in many pieces would cost its length for each of them.
+        if isinstance(self._data, bytes):
+            self._data, self._at = bytearray(self._data[self._at :]), 0
+        elif self._at > MOST_VALUE:
+            del self._data[: self._at]
+            self._at = 0
+        self._data += data
 
     def empty(self) -> bool:
         """True between messages, with nothing behind the last."""
@@ -53,7 +62,7 @@
 
     def piece(self) -> bytes:
         """What has come of the large string, and takes it away from what is missing of it."""
-        piece = self._data[self._at : self._at + self.large]
+        piece = bytes(self._data[self._at : self._at + self.large])
         self._at += len(piece)
         self.large -= len(piece)
         return piece
@@ -65,7 +74,7 @@
             if line is None:
                 return None
             if line[:1] == ERROR:
-                return line[1:]
+                return bytes(line[1:])
             self._missing = self._number(line, self._most)
             if not self._missing:
                 raise Malformed("an array of nothing")
@@ -102,11 +111,12 @@
             return False
         if self._data[end : end + 2] != b"\r\n":
             raise Malformed("a length that does not fit")
-        self._items.append(self._data[self._at : end])
+        item = self._data[self._at : end]
+        self._items.append(item if isinstance(item, bytes) else bytes(item))
         self._at, self._length = end + 2, -1
         return True
 
-    def _line(self, types: bytes) -> bytes | None:
+    def _line(self, types: bytes) -> bytes | bytearray | None:
         """A line that begins with one of these types; judged before its end has come."""
         data, at = self._data, self._at
         if at >= len(data):
@@ -123,7 +133,7 @@
         return data[at:end]
 
     @staticmethod
-    def _number(line: bytes, most: int) -> int:
+    def _number(line: bytes | bytearray, most: int) -> int:
         if not line[1:].isdigit() or (number := int(line[1:])) > most:
             raise Malformed("a count or length out of range")
         return number
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -1,5 +1,7 @@
 """An instance's life by hand: what it is asked, in any order, and what it does."""
 
+import itertools
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -106,6 +108,31 @@
     assert life.state is State.LEAVING
 
 
+def test_after_every_short_course_the_state_is_what_was_asked_last() -> None:
+    """All courses of up to five steps: what an end, a drain and its end leave, whatever came before."""
+    asks: list[Event] = [Ask.DRAIN, Ask.UNDRAIN, Ask.RELOAD, Ask.LEAVE, Ask.STOP, Started(), Reloaded()]
+    for length in range(1, 6):
+        for course in itertools.product(asks, repeat=length):
+            life, drained, ended, done = Life(0.5, 10.0), False, False, list[Do]()
+            for step, event in enumerate(course):
+                if isinstance(event, Started) and life.state is not State.STARTING:
+                    break
+                if (isinstance(event, Reloaded) and not life.reloading) or life.state is State.STOPPED:
+                    break
+                done += life.handle(float(step), event)
+                drained = event is Ask.DRAIN or (drained and event is not Ask.UNDRAIN)
+                ended |= event in (Ask.LEAVE, Ask.STOP)
+                assert not (life.ready and drained)
+                if not ended and life.state is not State.STARTING:
+                    assert life.state is (State.DRAINED if drained else State.READY)
+                if ended and not life.reloading:
+                    assert life.ending
+            # Each is set aside and taken back in turn, and never twice.
+            turns = [do for do in done if do in (Do.SET_ASIDE, Do.TAKE_BACK)]
+            assert turns == [Do.SET_ASIDE, Do.TAKE_BACK] * (len(turns) // 2) + turns[len(turns) // 2 * 2 :]
+            assert done.count(Do.CLOSE) <= 1
+
+
 EVENTS = st.sampled_from([*Ask, Reloaded(), Empty(), Tick()])
 
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -5,8 +5,10 @@
 import json
 import os
 import random
+import resource
 import signal
 import socket
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -153,6 +155,34 @@
             assert process.wait(timeout=30) == 0
 
 
+def test_calls_are_answered_while_crowds_take_every_descriptor_they_get(tmp_path: Path) -> None:
+    """256 descriptors; 600 connections that say nothing or half a command, and callers that say nothing."""
+    any_port = ("127.0.0.1", 0)
+    with contextlib.ExitStack() as stack:
+        discovery, counter = (stack.enter_context(socket.create_server(any_port)) for _ in range(2))
+        listen, operator = free_port(), free_port()
+        given = config(discovery.getsockname()[1], counter.getsockname()[1], listen)
+        given["operator"], given["limits"]["sockets"] = f"{GATEWAY}:{operator}", 256
+        process = stack.enter_context(start(tmp_path, json.dumps(given)))
+        stack.callback(process.kill)
+        stack.enter_context(discovery.accept()[0])
+        stack.enter_context(connect(listen, process))
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (256, 256))
+        for number in range(600):
+            crowd = stack.enter_context(connect(listen, process))
+            if number % 2:
+                crowd.sendall(b"*4\r\n$8\r\nCALL.")
+            if number % 20 == 0:
+                stack.enter_context(socket.create_connection((GATEWAY, operator), timeout=30))
+            if number % 50 == 0:
+                began = time.monotonic()
+                assert ask(operator, b"READY").startswith((b"+OK", b"-ERR starting"))
+                assert time.monotonic() - began < 1.0  # the operators' own bound
+        assert ask(operator, b"DRAIN") == b"+OK drained\r\n"
+        assert len(os.listdir(f"/proc/{process.pid}/fd")) <= 256
+        assert process.poll() is None
+
+
 def test_without_an_operators_address_nothing_else_is_listened_on(tmp_path: Path) -> None:
     any_port = ("127.0.0.1", 0)
     with socket.create_server(any_port) as discovery, socket.create_server(any_port) as counter:
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -24,6 +24,21 @@
     assert read(answer, True, step) == [[b"v", None, None], b"BUSY", [b"", None, None]]
 
 
+def test_a_string_in_many_pieces_is_not_joined_anew_at_each_and_commands_behind_it_are_read() -> None:
+    reader, sent = Reader(3), bytes(range(256)) * 256
+    data = b"*2\r\n$1\r\na\r\n$65536\r\n" + sent + b"\r\n"
+    found, buffers = list[object](), set[int]()
+    for _ in range(3):  # what is left behind one is the beginning of the next
+        for at in range(0, len(data), 97):
+            reader.feed(data[at : at + 97])
+            buffers.add(id(reader._data))
+            while (words := reader.next()) is not None:
+                found.append(words)
+    assert found == [[b"a", sent]] * 3
+    assert len(buffers) < 20, "the buffer was made anew"
+    assert reader.empty()
+
+
 def test_only_the_first_string_of_an_answer_may_be_large_and_it_comes_in_pieces() -> None:
     command = Reader(3)
     command.feed(b"*1\r\n$65537\r\n")
