--- a/lynxreel/backends/pools.py
+++ b/lynxreel/backends/pools.py
@@ -442,6 +442,11 @@
                 del self._pools[name]
         self.loop.call_later(SWEEP, self._sweep)
 
+    @property
+    def named(self) -> bool:
+        """There is a server that may be sent something new."""
+        return any(pool.stop_at is None for pool in self._pools.values())
+
     def view(self) -> list[dict[str, object]]:
         """Each server, for the operators."""
         return [
--- a/lynxreel/counters/bump.py
+++ b/lynxreel/counters/bump.py
@@ -115,6 +115,7 @@
         self.loop = loop
         self._address, self._limit, self._post = address, time_limit / 1e6, post
         self._lines: list[_Connection | None] = [None] * CONNECTIONS
+        self.up = asyncio.Event()  # it has been reached since the start
         self._out: dict[int, tuple[_Connection, int]] = {}  # name: where its last call is out, and how many
         self._tasks = [loop.create_task(self._keep(number)) for number in range(CONNECTIONS)]
 
@@ -198,6 +199,7 @@
                 async with asyncio.timeout(1.0):
                     _, line = await self.loop.create_connection(lambda: _Connection(self), *self._address)
                 before, self._lines[number] = self._lines[number], line
+                self.up.set()
                 if before is not None:
                     before.retire()
                 await self._tend(line)
--- a/lynxreel/daemon/instance.py
+++ b/lynxreel/daemon/instance.py
@@ -36,7 +36,7 @@
 
     def call(self, line: bytes) -> bytes:
         """An operator's call; its answer. It is carried out before that: whoever has it may rely on it."""
-        reply, deeds = answer(self.life, self.loop.time(), line)
+        reply, deeds = answer(self.life, self.loop.time(), line, self.node.lacks)
         self._carry_out(deeds)
         return reply
 
--- a/lynxreel/node.py
+++ b/lynxreel/node.py
@@ -33,7 +33,7 @@
     from lynxreel.sources.etcd import EtcdList, EtcdSource
     from lynxreel.sources.files import FileList, WatchedFile
 
-FIRST_NEWS = 0.1  # seconds that a start waits for discovery before it goes by the list it had last
+FIRST_NEWS = 0.1  # seconds that a start waits for discovery, and for the counter, before it goes on without
 OWN_SOCKETS = 32  # descriptors for the counter, discovery, the loop and the standard streams
 SERVER_PART = 0.25  # of the other descriptors; the rest is for clients
 FALL = 2.0  # largest requests by which a total may fall at once, as others give back
@@ -209,7 +209,9 @@
         """
         if self.peers is not None and self.deployment.peers is not None:
             await self.peers.open(self.deployment.peers.listen, self.deployment.peers.beside)
+        reaching = self._loop.create_task(self._reach())
         await self.warm(patience)
+        await reaching
         await self.open()
         gc.freeze()  # what the start has made lives on: collections need not look at it again
 
@@ -224,6 +226,18 @@
             async with asyncio.timeout(patience):
                 await self.source.told.wait()
 
+    async def _reach(self) -> None:
+        """Wait a moment for the counter: calls before that fail, and a few of these count as its absence."""
+        if isinstance(self.counter, Counter):
+            with suppress(TimeoutError):
+                async with asyncio.timeout(FIRST_NEWS):
+                    await self.counter.up.wait()
+
+    @property
+    def lacks(self) -> str:
+        """Without what it would refuse all that it takes; nothing where it can serve."""
+        return "" if self.servers.named else "no servers"
+
     async def open(self) -> None:
         """Take clients. Raises an OSError where an address is taken."""
         async with self._binding:
--- a/lynxreel/operations/calls.py
+++ b/lynxreel/operations/calls.py
@@ -10,14 +10,17 @@
 ASKS = {b"DRAIN": Ask.DRAIN, b"UNDRAIN": Ask.UNDRAIN}
 
 
-def answer(life: Life, now: float, line: bytes) -> tuple[bytes, list[Do]]:
+def answer(life: Life, now: float, line: bytes, lacks: str = "") -> tuple[bytes, list[Do]]:
     """Take one call; the line to send back, and what is to be done now. `now` is on the life's clock.
 
-    READY is true of an instance that takes clients, so not of one that starts, is drained or ends. DRAIN and
-    UNDRAIN are fine as often as they come; one that ends can't be taken back.
+    READY is true of an instance that takes clients and can serve them, so not of one that starts, is drained
+    or ends, or `lacks` something. DRAIN and UNDRAIN are fine as often as they come; one that ends can't be
+    taken back.
     """
     word = line.strip().upper()
     if word == b"READY":
+        if life.ready and lacks:
+            return b"-ERR %b\r\n" % lacks.encode(), []
         return _line(life.ready, life.state), []
     if (ask := ASKS.get(word)) is None:
         return b"-ERR unknown call; there are READY, DRAIN, UNDRAIN\r\n", []
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -39,6 +39,13 @@
     assert answer(life, 1.4, b"UNDRAIN") == (b"+OK ready\r\n", [])
 
 
+def test_one_that_could_only_refuse_is_not_ready_though_it_takes_clients() -> None:
+    life = ready()
+    assert answer(life, 1.0, b"READY", "no servers") == (b"-ERR no servers\r\n", [])
+    assert answer(life, 1.0, b"DRAIN", "no servers") == (b"+OK drained\r\n", [Do.SET_ASIDE, Do.TELL])
+    assert answer(life, 1.1, b"READY", "no servers") == (b"-ERR drained\r\n", [])
+
+
 def test_one_that_starts_is_not_ready_and_one_that_ends_is_not_taken_back() -> None:
     life = Life(0.5, 10.0)
     assert answer(life, 0.0, b"READY") == (b"-ERR starting\r\n", [])
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,16 +10,18 @@
 import pytest
 
 import lynxreel.__main__ as program
+from lynxreel import node as module_of_node
+from lynxreel.counters.bump import Counter
 from lynxreel.engine.engine import Engine
 from lynxreel.node import Deployment, Node, PeerPlan
 from lynxreel.peers import datagrams as module
 from lynxreel.peers.datagrams import MOST, Peers
 from lynxreel.protocol.address import Address
-from mothgap.interface import ListKind, Members, PeerMessage, Request, Tell
+from mothgap.interface import ListKind, Member, Members, PeerMessage, Request, State, Tell
 from mothgap.lending import Ask, read, write
 from tests.gateways import Gateways
 from tests.helpers import CUSTOMER, SECOND, SETTINGS
-from tests.net import LOCAL, NAMES, run
+from tests.net import LOCAL, NAMES, Peer, run
 from tests.test_lending import ASKED, LENT
 from tests.test_process import NAMED, config
 
@@ -138,6 +140,31 @@
     run(scenario)
 
 
+def test_a_start_waits_a_moment_for_the_counter_and_not_for_one_that_is_away() -> None:
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        settings = replace(SETTINGS, limits=replace(SETTINGS.limits, peers=False))
+        async with Peer() as peer:
+            for port in (peer.port, 1):
+                known = (Members(ListKind.CACHED, 1, ()), list[tuple[Member, Address]]())
+                deployment = Deployment(settings, NAMES, ((LOCAL, 0),), (LOCAL, 1), (LOCAL, port), 1024)
+                node = Node(deployment, 1, known, loop)
+                before = loop.time()
+                await node.start(0.0)
+                assert isinstance(node.counter, Counter)
+                assert node.counter.up.is_set() is (port == peer.port)
+                assert (loop.time() - before >= module_of_node.FIRST_NEWS) is (port == 1)
+                assert node.lacks == "no servers"
+                server = Member("s-1", State.READY)
+                node._news(Members(ListKind.FULL, 2, (server,)), [(server, (LOCAL, 9))])
+                assert node.lacks == ""
+                node._news(Members(ListKind.FULL, 3, ()), [])
+                assert node.lacks == "no servers"
+                node.close()
+
+    run(scenario)
+
+
 def test_a_gateway_lends_over_sockets_what_another_asks_for() -> None:
     """A node with its whole wiring answers a question; the test plays the gateway that asks."""
 
