--- a/bench/rig.py
+++ b/bench/rig.py
@@ -80,11 +80,12 @@
         return self.told("bench.peers", str(boxes), *sum(others, []))[1]
 
     def gateway(
-        self, peers: dict[str, Any], number: int = 0, gateways: int = 1, counter: str = "", workers: int = 0
+        self, peers: dict[str, Any], number: int = 0, gateways: int = 1, counter: str = "", workers: int = 0,
+        more: str = "",
     ) -> tuple[subprocess.Popen[str], str, float]:
         """A gateway that is ready: its process, its address, and the seconds from start to ready.
 
-        `counter` is its counter's table; the peers' counter by default.
+        `counter` is its counter's table; the peers' counter by default. `more`: further tables.
         """
         with socket.create_server((HOST, 0)) as free:
             listen = f"{HOST}:{free.getsockname()[1]}"
@@ -93,7 +94,7 @@
         counter = counter or f'[counter]\naddress = "{peers["counter"]}"'
         names = {"discovery": peers["discovery"], "counter": counter}
         text = FILE.format(number=number, gateways=gateways, listen=listen, folder=folder, **names)
-        path.write_text(text.replace("[state]", f"workers = {workers}\n[state]", 1))
+        path.write_text(text.replace("[state]", f"workers = {workers}\n[state]", 1) + more + "\n")
         began = time.monotonic()
         process = self.start("lynxreel.cli.main", "serve", "--config", str(path))
         place = Place(folder)
