--- a/bench/upgrades.py
+++ b/bench/upgrades.py
@@ -1,4 +1,4 @@
-"""A hundred new versions of the platform's program, each beside the running one, under clients that connect."""
+"""A hundred new versions of the platform's program, each beside the running one, while clients connect."""
 
 from __future__ import annotations
 
--- a/lynxreel/daemon/control.py
+++ b/lynxreel/daemon/control.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 from lynxreel.config.read import ConfigError, read
@@ -54,28 +55,33 @@
 
 def say(line: str, config: Path) -> int:
     """An operator's call to an instance, or to each of its workers; 0: all say +OK, 1: one does not."""
-    try:
-        places = Place(read(config).state.folder).instances()
-        answers = [str(ask(str(place.queries), "call", line=line)) for place in places]
-    except ConfigError as wrong:
-        print(wrong, file=sys.stderr)
-        return BAD_CONFIG
-    except (OSError, ValueError) as wrong:
-        print(f"no instance can be asked: {wrong}", file=sys.stderr)
-        return NOT_RUNNING
+    answers = list[str]()
+    if code := _each(config, lambda queries: answers.append(str(ask(queries, "call", line=line)))):
+        return code
     print(*answers, sep="\n")
     return 0 if all(answer.startswith("+OK") for answer in answers) else REFUSED
 
 
 def boxes(config: Path, approve: bool) -> int:
     """Print what a running instance believes of its boxes; with `approve`, first let it follow its source."""
+
+    def approved(queries: str) -> None:
+        held = ask(queries, "approve")
+        print(f"approved: {held}" if held else "nothing was held", file=sys.stderr)
+
+    told = list[object]()
+    code = _each(config, approved) if approve else 0  # each worker follows its source by itself
+    if code := code or _each(config, lambda queries: told.append(ask(queries, "boxes"))):
+        return code
+    print(json.dumps(told[0] if len(told) == 1 else told, indent=2))
+    return 0
+
+
+def _each(config: Path, act: Callable[[str], None]) -> int:
+    """Do this with the query socket of each instance that runs; an exit code, 0 where it was done."""
     try:
-        places = Place(read(config).state.folder).instances()
-        for place in places if approve else ():  # each worker follows its source by itself
-            held = ask(str(place.queries), "approve")
-            print(f"approved: {held}" if held else "nothing was held", file=sys.stderr)
-        told = [ask(str(place.queries), "boxes") for place in places]
-        print(json.dumps(told[0] if len(told) == 1 else told, indent=2))
+        for place in Place(read(config).state.folder).instances():
+            act(str(place.queries))
     except ConfigError as wrong:
         print(wrong, file=sys.stderr)
         return BAD_CONFIG
