A start names a bad operators' address or inherited descriptor; work beside a life is let go

Seen by hand: operator '127.0.0.1:x' ended with 'invalid literal for int()', a bad EDGE_LISTEN_FD without its name. Both are named now, with exit 2 and one line. A daemon kept each reload's ended task for good; the set lets them go.

--- a/lynxreel/__main__.py
+++ b/lynxreel/__main__.py
@@ -18,7 +18,7 @@
 from lynxreel.fronts.resp2 import HALF_READ
 from lynxreel.log import log
 from lynxreel.node import Deployment, Node, PeerPlan
-from lynxreel.protocol.address import read_address
+from lynxreel.protocol.address import Address, read_address
 from lynxreel.sources.platform import read_list
 from mothgap.interface import ListKind
 from mothgap.settings import read_names, read_settings
@@ -53,6 +53,15 @@
     return Deployment(settings, names, (listen,), discovery, counter, sockets, held=held, peers=peers)
 
 
+def read_operator(config: dict[str, Any]) -> Address | None:
+    """Where operators call; None where nobody does. A ValueError names what can't be read."""
+    told = config.get("operator") or os.environ.get("EDGE_OPERATOR")
+    try:
+        return read_address(told) if told else None
+    except (ValueError, AttributeError) as wrong:
+        raise ValueError(f"operator: {wrong}") from None
+
+
 class Program(Instance):
     """The platform's program: its configuration says where to listen, and SIGHUP where to look."""
 
@@ -62,7 +71,7 @@
         deployment = read_deployment(config, self._shared)
         longest = max(cls.deadline for cls in deployment.settings.classes) / 1e6
         super().__init__(Life(0.0 if self._shared else ACCEPT, longest + HALF_READ), loop)
-        self._operator = config.get("operator") or os.environ.get("EDGE_OPERATOR", "")
+        self._operator = read_operator(config)
         known = read_list(config["known"], deployment.names, ListKind.CACHED)
         doors = OwnDoors(loop, {deployment.listen[0]: given} if given is not None else {})
         self.node = Node(deployment, int(config["seed"], 16), known, loop, doors=doors)
@@ -74,8 +83,8 @@
         for number, ask in SIGNALS.items():
             self.loop.add_signal_handler(number, self.ask, ask)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-        if self._operator:
-            await self.take_calls(read_address(self._operator))
+        if self._operator is not None:
+            await self.take_calls(self._operator)
         await self.live(self._start())
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # from here on there is nothing to move
         self.node.close()
--- a/lynxreel/daemon/instance.py
+++ b/lynxreel/daemon/instance.py
@@ -23,7 +23,7 @@
         self.node: Node  # set by whoever derives, before `live`
         self._events: asyncio.Queue[Event] = asyncio.Queue()
         self._desk: Desk | None = None
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def ask(self, ask: Ask) -> None:
         """An operator's wish, by a signal."""
@@ -43,7 +43,8 @@
     def later(self, work: Coroutine[object, object, None]) -> asyncio.Task[None]:
         """Something that goes on beside the life, and ends with it."""
         task = self.loop.create_task(work)
-        self._tasks.append(task)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
         return task
 
     async def live(self, start: Coroutine[object, object, None]) -> None:
@@ -54,7 +55,7 @@
                 event = await self._next(starting)
                 self._carry_out(self.life.handle(self.loop.time(), event))
         finally:
-            for task in self._tasks:
+            for task in list(self._tasks):
                 task.cancel()
             if self._desk is not None:
                 self._desk.close()
--- a/lynxreel/fronts/listeners.py
+++ b/lynxreel/fronts/listeners.py
@@ -205,7 +205,10 @@
         return None
     if not told.isdigit():
         raise ValueError(f"{variable}: {told!r} is no descriptor")
-    own = listener(int(told))
+    try:
+        own = listener(int(told))
+    except ValueError as wrong:
+        raise ValueError(f"{variable}: {wrong}") from None
     own.set_inheritable(False)
     return own
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -102,7 +102,7 @@
 @pytest.mark.parametrize(
     "text",
     [None, "", "{nope", "[]", "{}", '{"settings": {}}', json.dumps(config(1, 1, 1) | {"listen": "here"}),
-     json.dumps(config(1, 1, 1) | {"seed": "xyz"}),
+     json.dumps(config(1, 1, 1) | {"seed": "xyz"}), json.dumps(config(1, 1, 1) | {"operator": "here"}),
      json.dumps(config(1, 1, 1) | {"settings": {"limits": 3}})],
 )  # fmt: skip
 def test_a_bad_configuration_gives_one_line_and_a_non_zero_exit(tmp_path: Path, text: str | None) -> None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -145,3 +145,23 @@
 
 def test_without_the_variable_nothing_is_inherited() -> None:
     assert inherited("FD", {}) is None
+
+
+@pytest.mark.parametrize(
+    ("more", "variables", "named"),
+    [
+        ({"operator": "127.0.0.1:x"}, {}, b"operator: no address: '127.0.0.1:x'"),
+        ({}, {"EDGE_OPERATOR": "here"}, b"operator: no address: 'here'"),
+        ({}, {"EDGE_LISTEN_FD": "77"}, b"EDGE_LISTEN_FD: descriptor 77 is no socket"),
+    ],
+)
+def test_a_start_that_can_not_be_names_what_is_wrong(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, more: dict[str, str], variables: dict[str, str], named: bytes
+) -> None:
+    for name, value in variables.items():
+        monkeypatch.setenv(name, value)
+    with start(tmp_path, json.dumps({**config(1, 1, 1), **more})) as process:
+        _, err = process.communicate(timeout=60)
+    assert process.returncode == 2
+    assert named in err
+    assert err.count(b"\n") == 1
