--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -240,7 +240,8 @@
         self._kinds: dict[int, _Kind] = {}
         self._warm_of: dict[int, int] = {}  # warm servers by kind, counted at `_warm_at`
         self._warm_at = now - NAME_LIFE
-        self._pooled: _Limit | None = None  # one limit for all, where there are more gateways than servers
+        self._pooled: _Limit | None = None  # one limit for all servers, in fleets of more than a few gateways
+        self._seldom = False  # more gateways than servers: most customers are met less than once in a window
         self._live, self._credit, self._credit_at = 0, 0.0, now  # attempts out; attempt-microseconds saved up
         self._mean_value = 1e-9  # running mean of worth for the work
         self._mean_answer = 0.0  # running mean answer time, of all classes
@@ -363,12 +364,12 @@
             share = self._calling
             if hot and share < 1.0:
                 share *= min(1.0, HOT_CALLS * (1.0 - doubt))
-            elif share < 1.0 and self._pooled is None:
+            elif share < 1.0 and not self._seldom:
                 # The nearer to the burst, the more a total tells; what is far from it is owed meanwhile.
                 share *= ((customer.debt + request.units) / plan.burst / CALL_HALF) ** 2
             if self._random.random() < share:
                 # In a large fleet a customer may not come here again: this stands for those that pass.
-                job.added = request.units if hot or self._pooled is None else request.units / share
+                job.added = request.units if hot or not self._seldom else request.units / share
                 self._count(job, plan, request.id, job.added)
                 self._borrow(job, plan)
                 patience = self._patience_of(job)
@@ -626,7 +627,7 @@
         customer, cost, others = job.customer, job.request.units, 0.0
         if self._s.counter is None:
             others = cost * (max(1, job.request.entry_points) - 1)
-        elif self._failed >= BREAKER_TRIP or (self._pooled is None and not job.added):
+        elif self._failed >= BREAKER_TRIP or not (self._seldom or job.added):
             others = cost * customer.others(job.request.entry_points)
         cost += others
         # One request may cost more than the burst where many gateways share it: it waits for an empty debt.
@@ -635,7 +636,7 @@
             self._enter_window(job, plan)
             customer.debt += cost
             customer.guess += others
-            if not job.added and self._pooled is None and self._failed < BREAKER_TRIP:
+            if not (job.added or self._seldom) and self._failed < BREAKER_TRIP:
                 customer.owed, job.added = customer.owed + job.request.units, job.request.units
             self._pass(job, plan)
         else:
@@ -753,11 +754,13 @@
     def _room(self, rank: float = 0.0) -> bool:
         """Less is out than all servers' limits together allow.
 
-        Where they come to a fraction of an attempt at each server, they hold for the mean over time: what is
-        allowed to be out saves up credit, what is out spends it. So all gateways together keep the limit,
-        and a random burst at one of them is not refused.
+        Where they come to a fraction of an attempt at each server, whole ones of their sum may be out, and a
+        fraction holds for the mean over time: what is allowed to be out saves up credit, what is out spends
+        it. So all gateways together keep the limit, and a random burst at one of them is not refused.
         """
         if self._pooled is not None:
+            if self._live + 1 <= self._allowed() * (1.0 - KEPT * rank):
+                return True
             self._accrue()
             spent = self._live * (max(self._usual) or METER_PATIENCE * self._longest)
             return self._credit > spent + RESERVE * rank * self._longest
@@ -773,10 +776,14 @@
             self._sums, self._sums_at = (held, limit), self._now
         return limit > 0 and held < max(1.0, limit * (1.0 - KEPT * rank))
 
+    def _allowed(self) -> float:
+        """Attempts that this gateway may have out in all, where all servers have one limit."""
+        return self._pooled.most * len(self._ready) if self._pooled is not None else 0.0
+
     def _accrue(self) -> None:
         """Bring the credit up to now."""
         if self._pooled is not None:
-            gain = self._pooled.most * len(self._ready) - self._live
+            gain = self._allowed() - self._live
             self._credit = min(self._longest, self._credit + gain * (self._now - self._credit_at))
         self._credit_at = self._now
 
@@ -995,7 +1002,10 @@
         """
         sent, limit = self._now - event.elapsed, server.limit
         # A limit that is not reached is not moved up; one shared by all servers is not moved down either.
-        used = self._credit < self._longest / 2 if self._pooled else len(server.out) + 1 >= limit.most / 2
+        if self._pooled is not None:
+            used = self._live + 1 > max(1.0, self._allowed() / 2) or self._credit < self._longest / 2
+        else:
+            used = len(server.out) + 1 >= limit.most / 2
         late = event.result is Result.FULL
         if event.result in (Result.TIMEOUT, Result.CANCELLED):
             old = self._now - int(GHOST_AIMS * self._longest)
@@ -1134,9 +1144,12 @@
         if event.kind is ListKind.CACHED and self._s.ask_for_list:
             self._out.append(Watch(True))
         named = {line.server: None for line in event.members}
-        if not self._servers and self._s.fleet_size > max(LIMIT_START, len(named)):
+        if not self._servers and self._s.fleet_size > LIMIT_START:
             # One gateway's part of a server's limit is a fraction of an attempt, and little is seen of each.
-            self._pooled, self._calling = _Limit(LIMIT_START / self._s.fleet_size, self._now), 0.5
+            # Limits of their own would let one attempt out at every server, by every gateway.
+            self._pooled = _Limit(LIMIT_START / self._s.fleet_size, self._now)
+            if self._s.fleet_size > len(named):
+                self._seldom, self._calling = True, 0.5
         if event.kind is not ListKind.CHANGES:
             for name in [n for n in self._servers if n not in named]:
                 del self._servers[name]
@@ -1161,7 +1174,7 @@
         # In large fleets each gateway keeps to a few servers, by its number, and so meets them often enough.
         self._near, self._warm_at = self._ready, self._now - NAME_LIFE
         self._sums_at = self._aside_at = self._now - SUMS_KEPT
-        if self._pooled is not None and len(self._ready) > SAMPLE:
+        if self._s.fleet_size > len(self._ready) > SAMPLE:
             order = sorted(self._ready, key=lambda s: s.line.server)
             first = self._s.index * SAMPLE % len(order)
             self._near = (order + order)[first : first + SAMPLE]
--- a/tests/test_large_fleets.py
+++ b/tests/test_large_fleets.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from mothgap.interface import Count, Counted, Effect, ListKind, Member, Plan, Result, Send, State
-from mothgap.rules import LOOK, SAMPLE
+from mothgap.rules import LIMIT_START, LOOK, SAMPLE
 from tests.helpers import (
     CEILING, CUSTOMER, KEYED, MS, ONCE, REPEATABLE, SECOND, SETTINGS, Driver, kinds, line,
 )  # fmt: skip
@@ -79,6 +79,64 @@
     assert 0 < dice.draws <= 2 * SAMPLE
 
 
+FORTY = replace(NO_COUNTER, fleet_size=40, plans=(Plan(),))
+
+
+def passed(driver: Driver, requests: int, every: int = 0) -> int:
+    """How many of so many requests go on, if one comes after each such span."""
+    before = kinds(driver.actions).count("Send")
+    for _ in range(requests):
+        driver.request(customer=driver.next_id)
+        driver.wait(every)
+    return kinds(driver.actions).count("Send") - before
+
+
+def test_forty_gateways_do_not_each_hold_an_attempt_at_every_one_of_sixty_servers() -> None:
+    """Four at a server in all, at first: forty gateways times sixty would be forty at each."""
+    driver = Driver(FORTY, servers=60)
+    whole = int(LIMIT_START * 60 / 40)
+    assert whole <= passed(driver, 60) <= 2 * whole
+    driver.wait(500 * MS)
+    driver.finish()
+    assert passed(driver, 1) == 1, "what has ended makes room"
+
+
+def test_a_gateway_of_forty_sends_more_where_answers_are_in_time_and_less_where_they_are_late() -> None:
+    driver = Driver(FORTY, servers=60)
+    at_first = passed(driver, 60)
+    for _ in range(20):
+        driver.wait(100 * MS)
+        driver.finish()
+        passed(driver, 20)
+    driver.finish()
+    prompt = passed(driver, 100)
+    assert prompt > 2 * at_first
+    for _ in range(20):
+        driver.wait(900 * MS)  # nine tenths of the aim
+        driver.finish()
+        passed(driver, 20)
+    driver.finish()
+    assert passed(driver, 100) < prompt / 2
+
+
+def test_a_limit_that_is_more_than_half_used_grows_before_anything_is_refused() -> None:
+    driver = Driver(FORTY, servers=60)
+    for _ in range(60):
+        assert passed(driver, 4) == 4, "of six"
+        driver.wait(250 * MS)
+        driver.finish()
+    assert driver.gateway._allowed() > 8.0, "twice what is out"
+
+
+def test_a_gateway_of_forty_may_send_to_every_server_where_there_are_more_of_them() -> None:
+    driver = Driver(FORTY, servers=60)
+    for _ in range(60):
+        passed(driver, 20)
+        driver.wait(100 * MS)
+        driver.finish()
+    assert len({a.server for a in driver.actions if isinstance(a, Send)}) > 50
+
+
 MANY_BOXES = replace(SETTINGS, counter=None, fleet_size=1, plans=(Plan(),))
 
 
