--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -106,6 +106,23 @@
     assert len(set(used[:12])) == 2
 
 
+def test_servers_that_have_just_come_get_what_they_can_take_though_nobody_is_connected_to_them() -> None:
+    # Guards the servers that are left when many are replaced: all would go on to them, who have connections.
+    driver = Driver(PRICED, servers=2)
+
+    def play(seconds: int) -> set[str]:
+        before = driver.next_id
+        for _ in range(10 * seconds):
+            send = driver.admitted(customer=driver.next_id)
+            driver.wait(100 * MS)
+            driver.outcome(send.request)
+        return {s for n in range(before, driver.next_id) for s, *_ in driver.lives[n].sent.values()}
+
+    assert play(8) <= {line(1).server, line(2).server}
+    driver.members(line(3, started_at=driver.now), line(4, started_at=driver.now))
+    assert play(4) >= {line(3).server, line(4).server}
+
+
 def test_a_connection_that_broke_is_no_idle_one() -> None:
     driver = Driver(PRICED, servers=2)
     first = driver.admitted()
