--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -829,8 +829,8 @@
                     cost = 0.0  # its trial is due; hundreds of gateways try it without being made to
             if line.zone != zone:
                 cost *= FAR
-            if not server.idle or server.idle_at < kept:
-                cost *= new
+            if line.started_at <= cold_since and (not server.idle or server.idle_at < kept):
+                cost *= new  # nobody is connected to one that has just come: what it may take is its limit
             if name == avoid:
                 cost = (1.0 + cost) * AVOID
             if best is None or cost < least:
