--- a/lynxreel/engine/engine.py
+++ b/lynxreel/engine/engine.py
@@ -126,37 +126,6 @@
         return (self.base + time.monotonic_ns()) // 1_000
 
 
-_BUF = []
-def _trace(m, now, e, acts):
-    t = now // 1000 % 10000000
-    n = type(e).__name__
-    if n == "Request":
-        _BUF.append(f"T {t} R {e.id} {e.cls} {e.plan} {e.customer} {e.time_left//1000} {int(e.retry)} {m._calling:.2f} {m._customers[e.customer].debt:.1f}")
-    elif n == "Outcome":
-        s = m._servers.get(e.server)
-        _BUF.append(f"T {t} O {e.request} {e.attempt} {e.server} {e.result.name} {e.elapsed//1000} {int(e.final)} {e.load} {s.limit.most if s else -1:.3f} {s.line.zone if s else -1} {int(s.aside) if s else -1}")
-    elif n == "Counted":
-        _BUF.append(f"T {t} C {e.name} {e.result.name} {e.elapsed//1000} {e.total:.1f}")
-    elif n == "CountedLate":
-        _BUF.append(f"T {t} L {e.name}")
-    elif n == "Members":
-        _BUF.append(f"T {t} M {e.kind.name} " + " ".join(f"{x.server}:{x.state.name}:{x.zone}:{x.started_at}" for x in e.members))
-    for a in acts:
-        k = type(a).__name__
-        if k == "Send":
-            _BUF.append(f"T {t} S {a.request} {a.server} {a.timeout//1000}")
-        elif k in ("Refuse", "Fail"):
-            lim = sum(s.limit.most for s in m._ready); held = sum(len(s.out) for s in m._ready)
-            _BUF.append(f"T {t} {k[0]*2} {a.request} {a.cause.name} {held} {lim:.2f} {len(m._ready)}")
-        elif k == "Cancel":
-            _BUF.append(f"T {t} X {a.request} {a.attempt}")
-        elif k == "Count":
-            _BUF.append(f"T {t} A {a.name} {a.amount:.2f}")
-    if len(_BUF) > 20:
-        import os
-        os.write(2, ("\n".join(_BUF) + "\n").encode()); _BUF.clear()
-
-
 class Engine:
     """One gateway's decisions, and who is owed what."""
 
@@ -171,7 +140,6 @@
         self._settings = settings
         self._loop = loop
         self._module = Gateway(settings, seed, self.clock.now())
-        log(repr(settings))
         self._ids = itertools.count(1)
         self._open: dict[int, Open] = {}
         self._taken: set[bytes] = set()  # ids of requests that are open, or have attempts out
@@ -266,10 +234,7 @@
             for _ in range(len(queue)):
                 event = queue.popleft()
                 try:
-                    now = self.clock.now()
-                    acts = self._module.handle(now, event)
-                    _trace(self._module, now, event, acts)
-                    for action in acts:
+                    for action in self._module.handle(self.clock.now(), event):
                         self._act(action)
                 except Exception:  # one request's trouble must not end the process
                     log(traceback.format_exc())
