--- a/lynxreel/emulator/books.py
+++ b/lynxreel/emulator/books.py
@@ -36,15 +36,21 @@
         self.ends = dict.fromkeys(("in time", "late", "refused", "failed", "left"), 0)
         self.by_second: dict[int, dict[str, int]] = {}
         self.units, self.beyond = 0.0, 0.0  # sent on, and of these beyond quotas
+        self.allowed = 0.0  # what one gateway that sees all first tries would have let through
         self.refused_with_room = 0
         self.problems: list[str] = []
         self._open: dict[tuple[int, int], _Life] = {}
-        self._buckets: dict[int, _Bucket] = {}
+        self._buckets: dict[int, _Bucket] = {}  # what is left of each quota
+        self._ideal: dict[int, _Bucket] = {}  # what would be, had that one gateway decided
 
     def came(self, gateway: int, request: Request, cls: RequestClass, now: int, first: int | None) -> None:
         """A gateway has taken a request. `first`: when its client's first try came, for a later one."""
         if first is None:
             self._second(now)["asked"] += 1
+            ideal = self._level(self._ideal, request, now)
+            if ideal.level >= request.units:
+                ideal.level -= request.units
+                self.allowed += request.units
         self._open[gateway, request.id] = _Life(request, cls, now, now if first is None else first)
 
     def sent(self, gateway: int, request: int, box: str, first: bool, told_off: int | None, now: int) -> None:
@@ -60,7 +66,7 @@
         if life.ran and life.cls.effect is Effect.KEYED and now - life.ran[0][1] > life.cls.key_memory:
             self.problems.append(f"request {request} of gateway {gateway} was repeated after its key's life")
         if first:
-            bucket = self._level(life.request, now)
+            bucket = self._level(self._buckets, life.request, now)
             self.units += life.request.units
             if bucket.level >= life.request.units:
                 bucket.level -= life.request.units
@@ -84,7 +90,8 @@
         if how == "served":
             how = "in time" if now - life.first <= life.cls.aim else "late"
         if how == "refused":
-            self.refused_with_room += self._level(life.request, now).level >= life.request.units
+            left = self._level(self._buckets, life.request, now).level
+            self.refused_with_room += left >= life.request.units
         self.ends[how] += 1
         self._second(life.first)[how] += 1
 
@@ -105,9 +112,9 @@
         """The counts of the first tries of that second, and of how all tries behind them ended."""
         return self.by_second.setdefault(now // SECOND, dict.fromkeys(("asked", *self.ends), 0))
 
-    def _level(self, request: Request, now: int) -> _Bucket:
+    def _level(self, buckets: dict[int, _Bucket], request: Request, now: int) -> _Bucket:
         plan = self.plans[request.plan]
-        bucket = self._buckets.setdefault(request.customer, _Bucket(plan.burst, now))
+        bucket = buckets.setdefault(request.customer, _Bucket(plan.burst, now))
         bucket.level = min(plan.burst, bucket.level + plan.rate * (now - bucket.at) / SECOND)
         bucket.at = now
         return bucket
--- a/lynxreel/emulator/fleet.py
+++ b/lynxreel/emulator/fleet.py
@@ -77,17 +77,20 @@
     # --- the day ----------------------------------------------------------------------------------------
 
     def load(
-        self, rate: float, customers: int, until: int, spread: int = 3, plan: int = 0, retries: int = 0
-    ) -> None:
+        self, rate: float, customers: int, until: int, spread: int = 3, plan: int = 0, retries: int = 0,
+        base: int = 0,
+    ) -> None:  # fmt: skip
         """First tries of equal customers by chance, so many a second in all, each through its gateways.
 
+        Customers are numbered from `base` on.
+
         Who is refused or failed comes again, so many times, 25 to 200 ms later and through any of them.
         """
 
         def come() -> None:
             if self.agenda.now >= until:
                 return
-            customer = self.chance.randrange(customers)
+            customer = base + self.chance.randrange(customers)
             cls = self.chance.randrange(len(self.settings.classes))
             now = self.agenda.now
             self._again[self._ids + 1] = _Try(now, retries)
