Problems and plans as checked files, and `lynxreel plan check|solve|diff`

Need: the solver could be called from Python alone. A problem is a TOML file, a plan a versioned JSON document with a life; each is taken whole or every error is named with file, place and mend, by the same reader as the operator file's (config/read.py tells any file's model now). `solve` prints the plan, or nothing and the reason; `diff` tells how much work moves from where to where.

Open: gateways that hold to a plan, plans by etcd and watched file, drift, explain and apply.

--- a/lynxreel/cli/main.py
+++ b/lynxreel/cli/main.py
@@ -121,6 +121,14 @@
     return show(args.file, args.json) if args.act == "show" else diff(args.old, args.new)
 
 
+def _plan(args: argparse.Namespace) -> int:
+    from lynxreel.cli.plan import check, diff, solve
+
+    if args.act == "check":
+        return check(args.file)
+    return diff(args.old, args.new) if args.act == "diff" else solve(args.file, args.in_force, args.life)
+
+
 def _call(args: argparse.Namespace) -> int:
     from lynxreel.cli.call import call
 
@@ -220,6 +228,19 @@
     changed.add_argument("new", type=Path)
     routes.set_defaults(run=_routes)
 
+    plan = commands.add_parser("plan", help="shares of traffic worked out ahead")
+    acts = plan.add_subparsers(dest="act", required=True, metavar="ACT")
+    fine = acts.add_parser("check", help="check a problem and tell every error in it")
+    fine.add_argument("file", type=Path)
+    solved = acts.add_parser("solve", help="print the plan of a problem, or why there is none")
+    solved.add_argument("file", type=Path)
+    solved.add_argument("--in-force", type=Path, metavar="PLAN", help="of which as little as can be is moved")
+    solved.add_argument("--life", type=float, default=3600.0, metavar="SECONDS", help="for which it counts")
+    moved = acts.add_parser("diff", help="how much work another plan moves, from where to where")
+    moved.add_argument("old", type=Path)
+    moved.add_argument("new", type=Path)
+    plan.set_defaults(run=_plan)
+
     call = commands.add_parser("call", help="send one command to a gateway and print its answer")
     call.add_argument("address", help="HOST:PORT")
     call.add_argument("words", nargs="*", help="as CALL.GET CUSTOMER ID TERMS, or PING; a lookup by default")
--- a/lynxreel/config/read.py
+++ b/lynxreel/config/read.py
@@ -26,32 +26,46 @@
 
 def read(path: str | Path) -> OperatorFile:
     """The checked file. Raises ConfigError with every problem found; nothing is half taken."""
+    return parse(raw(path), str(path))
+
+
+def table(path: str | Path) -> dict[str, object]:
+    """A TOML file of any kind, as it is written. Raises ConfigError."""
+    return _table(raw(path), str(path))
+
+
+def raw(path: str | Path) -> bytes:
+    """A file's bytes. Raises ConfigError."""
     try:
-        raw = Path(path).read_bytes()
+        return Path(path).read_bytes()
     except OSError as wrong:
         why = f"{path}: can't be read: {wrong.strerror}; mend: name a file that can be"
         raise ConfigError([why]) from None
-    return parse(raw, str(path))
 
 
-def parse(raw: bytes, path: str) -> OperatorFile:
+def parse(text: bytes, path: str) -> OperatorFile:
     """The same for bytes; `path` is the name that errors give."""
-    if len(raw) > MOST_BYTES:
-        raise ConfigError([f"{path}: {len(raw)} bytes; mend: an operator file has {MOST_BYTES} at most"])
     try:
-        data = tomllib.loads(raw.decode())
+        return OperatorFile.model_validate(_table(text, path))
+    except ValidationError as wrong:
+        raise ConfigError([line(path, error, error["loc"]) for error in wrong.errors()]) from None
+
+
+def _table(text: bytes, path: str) -> dict[str, object]:
+    if len(text) > MOST_BYTES:
+        raise ConfigError([f"{path}: {len(text)} bytes; mend: an operator file has {MOST_BYTES} at most"])
+    try:
+        return tomllib.loads(text.decode())
     except UnicodeDecodeError as wrong:
         raise ConfigError([f"{path}: byte {wrong.start} is no UTF-8; mend: save it as UTF-8"]) from None
     except tomllib.TOMLDecodeError as wrong:
         raise ConfigError([f"{path}: no TOML: {wrong}; mend: correct the syntax there"]) from None
-    try:
-        return OperatorFile.model_validate(data)
-    except ValidationError as wrong:
-        raise ConfigError([line(path, error, error["loc"]) for error in wrong.errors()]) from None
 
 
-def line(path: str, error: ErrorDetails, place: tuple[int | str, ...]) -> str:
-    """One error of the model as a line; `place` is where it is within `path`."""
+def line(
+    path: str, error: ErrorDetails, place: tuple[int | str, ...], model: type[BaseModel] = OperatorFile
+) -> str:
+    """One error of a file's model as a line; `place` is where it is within `path`."""
     key = "".join(f"[{part}]" if isinstance(part, int) else f".{part}" for part in place).lstrip(".")
     where = f"{path}: {key}" if key else path
     message = error["msg"].removeprefix("Value error, ")
@@ -60,7 +74,7 @@
         return f"{where}: {what}; mend: {mend or what}"
     last = str(error["loc"][-1])
     if error["type"] == "extra_forbidden":
-        near = difflib.get_close_matches(last, _keys(error["loc"][:-1]), 1)
+        near = difflib.get_close_matches(last, _keys(error["loc"][:-1], model), 1)
         return f"{where}: unknown key; mend: " + (f"write {near[0]}" if near else "remove it")
     if error["type"] == "missing":
         return f"{where}: missing; mend: add {last}"
@@ -68,9 +82,8 @@
     return f"{where}: is {given!r}; mend: {message[0].lower()}{message[1:]}"
 
 
-def _keys(place: tuple[int | str, ...]) -> list[str]:
-    """The keys that the model knows at a place."""
-    model: type[BaseModel] = OperatorFile
+def _keys(place: tuple[int | str, ...], model: type[BaseModel]) -> list[str]:
+    """The keys that a model knows at a place."""
     for part in place:
         if isinstance(part, int):
             continue
@@ -79,7 +92,7 @@
         if not found:
             return []
         model = found[0]
-    return list(model.model_fields)
+    return [field.alias or name for name, field in model.model_fields.items()]
 
 
 def _models(annotation: object) -> list[type[BaseModel]]:
