--- a/tests/test_emulated_fleet.py
+++ b/tests/test_emulated_fleet.py
@@ -1,7 +1,9 @@
 """Fleets in virtual time: what forty gateways do to sixty servers, and what one of them can know."""
 
+import math
 from dataclasses import replace
 from functools import partial
+from random import Random
 
 import pytest
 
@@ -212,3 +214,26 @@
         books.sent(0, number, "box-1", True, None, now)
         books.ended(0, number, "served", now)
     assert (books.units, books.beyond) == (5.0, 1.0)
+
+
+@pytest.mark.parametrize("busy", [0.5, 0.8])
+def test_answer_times_of_one_box_are_those_of_the_formula(busy: float) -> None:
+    """Erlang's C: with exponential works, cores that share answer as fast in the mean as cores in a row."""
+    cores, work = 3, 100 * MS
+    load = busy * cores
+    below = sum(load**k / math.factorial(k) for k in range(cores))
+    waits = load**cores / math.factorial(cores) / (1 - busy)
+    expected = work * (1 + waits / (below + waits) / (cores * (1 - busy)))
+    agenda, dice, spans = Agenda(), Random(7), list[int]()
+    box = Box(Make(cores=cores, slots=10_000), agenda, work)
+
+    def come(left: int) -> None:
+        came = agenda.now
+        box.arrive(int(dice.expovariate(1 / work)) + 1, 1 << 60, lambda _: spans.append(agenda.now - came))
+        if left:
+            agenda.after(int(dice.expovariate(load / work)) + 1, partial(come, left - 1))
+
+    come(60_000)
+    agenda.run(1 << 50)
+    assert len(spans) == 60_001
+    assert sum(spans) / len(spans) == pytest.approx(expected, rel=0.05)
