The emulator's box keeps no counts that nobody reads; refusals with room have a test

Read through as a whole: two counters of a box were written and never read, and the books' count of refusals that had room in the quota, which the figures of large fleets rest on, had no test.

--- a/lynxreel/emulator/box.py
+++ b/lynxreel/emulator/box.py
@@ -46,14 +46,13 @@
         self.away = False  # reached by nobody, and silent
         self.slow = 1.0  # how many times longer its work takes
         self.fallen = False
-        self.done, self.in_vain = 0, 0  # requests worked on, and of these those that nobody waited for
         self._reset()
         self._came: deque[int] = deque()  # arrivals within the longest span that is looked at
         self._reports: deque[tuple[int, float]] = deque([(0, 0.0)])
 
     def _reset(self) -> None:
         self._clock, self._clock_at = 0.0, self.agenda.now  # work done for each request in work, and when
-        self._work: list[tuple[float, int, int, End]] = []  # ready at, order, given up at, who waits
+        self._work: list[tuple[float, int, End]] = []  # ready at, order, who waits
         self._order = itertools.count()
         self._room: deque[tuple[int, int, End]] = deque()  # work, given up at, and who waits
         self._turn = 0  # of the plan for the next that is ready; older ones mean nothing
@@ -87,7 +86,7 @@
         self._watch_fall()
         if len(self._work) < self.make.slots:
             self._move()
-            self._begin(work, until, end)
+            self._begin(work, end)
             self._plan()
         elif len(self._room) < self.make.room:
             self._room.append((work, until, end))
@@ -127,8 +126,8 @@
             self._clock += self._pace() * (self.agenda.now - self._clock_at)
         self._clock_at = self.agenda.now
 
-    def _begin(self, work: int, until: int, end: End) -> None:
-        heapq.heappush(self._work, (self._clock + work, next(self._order), until, end))
+    def _begin(self, work: int, end: End) -> None:
+        heapq.heappush(self._work, (self._clock + work, next(self._order), end))
 
     def _plan(self) -> None:
         """Come back when the next one is ready, if nothing changes before."""
@@ -143,14 +142,11 @@
         self._move()
         told: list[End] = []
         while self._work and self._work[0][0] <= self._clock + 1.0:
-            _, _, until, end = heapq.heappop(self._work)
-            self.done += 1
-            self.in_vain += self.agenda.now > until
-            told.append(end)
+            told.append(heapq.heappop(self._work)[2])
         while self._room and len(self._work) < self.make.slots:
             work, until, end = self._room.popleft()
             if until >= self.agenda.now:
-                self._begin(work, until, end)
+                self._begin(work, end)
         self._plan()
         if not self.away:
             for end in told:
--- a/tests/test_emulated_fleet.py
+++ b/tests/test_emulated_fleet.py
@@ -213,7 +213,13 @@
         books.came(0, request, FORTY.classes[0], now, None)
         books.sent(0, number, "box-1", True, None, now)
         books.ended(0, number, "served", now)
-    assert (books.units, books.beyond) == (5.0, 1.0)
+    assert (books.units, books.beyond, books.allowed) == (5.0, 1.0, 4.0)
+    for number, now in ((10, 10 * SECOND), (11, 30 * SECOND)):
+        books.came(0, replace(REQUEST, id=number), FORTY.classes[0], now, None)
+    books.sent(0, 10, "box-1", True, None, 10 * SECOND)
+    books.ended(0, 10, "served", 10 * SECOND)
+    books.ended(0, 11, "refused", 30 * SECOND)
+    assert books.refused_with_room == 1
 
 
 @pytest.mark.parametrize("busy", [0.5, 0.8])
