--- a/lynxreel/config/deploy.py
+++ b/lynxreel/config/deploy.py
@@ -21,12 +21,14 @@
     from lynxreel.etcd.client import Options as EtcdOptions
     from lynxreel.sources.etcd import EtcdList
     from lynxreel.sources.files import FileList
+    from lynxreel.takeover.cover import Plan as TakeoverPlan
 
 MS = 1_000  # microseconds
 FIXED = (  # only at a start
     "gateway.name", "gateway.number", "gateway.workers", "supervisor", "state", "records", "operations",
     "counter.guard", "counter.beat_ms", "boxes.file", "boxes.etcd", "boxes.most_removed",
     "boxes.removed_within_ms", "limits.held_mb", "http.listen", "http.repeat_keys", "http.repeat_ms",
+    "links", "takeover",
 )  # fmt: skip
 Known = TypeVar("Known")
 
@@ -87,6 +89,7 @@
         max(1, file.gateway.workers),
         seen.part(file.gateway.number),
         int(limits.held_mb * 1e6),
+        takeover=_takeover(file),
     )
 
 
@@ -131,6 +134,21 @@
     return tuple(placed)
 
 
+def _takeover(file: model.OperatorFile) -> TakeoverPlan | None:
+    """Who keeps work in hand; nothing where the file does not ask for it."""
+    entry, links = file.takeover, file.links
+    if entry is None or links is None:
+        return None
+    from lynxreel.links.mesh import Place  # here: only where it is configured
+    from lynxreel.takeover.cover import Plan
+
+    own = Place(file.gateway.name, links.zone, read_address(links.listen))
+    others = tuple(Place(peer.name, peer.zone, read_address(peer.address)) for peer in links.peers)
+    times = entry.wait_ms * MS, entry.keep_ms * MS
+    bounds = entry.entries, int(entry.most_mb * 1e6)
+    return Plan(own, others, file.state.folder, *bounds, *times, entry.once == "wait")
+
+
 def _source(boxes: model.Boxes) -> Address | FileList | EtcdList:
     if boxes.discovery is not None:
         return read_address(boxes.discovery)
--- a/lynxreel/config/model.py
+++ b/lynxreel/config/model.py
@@ -284,6 +284,43 @@
     repeat_ms: int = Field(default=600_000, gt=0, le=86_400_000, description="for which one is kept")
 
 
+class PeerInstance(_Table):
+    """Another instance of the fleet, by the name in its own file."""
+
+    name: Name
+    address: Address
+    zone: str = Field(default="", max_length=64)
+
+
+class Links(_Table):
+    """Where this instance hears the others, and who they are; it may stand among them itself."""
+
+    listen: Address
+    zone: str = Field(default="", max_length=64, description="where this instance runs")
+    peers: tuple[PeerInstance, ...] = Field(min_length=1, strict=False)
+
+    @model_validator(mode="after")
+    def _check(self) -> Links:
+        for what in ("name", "address"):
+            seen = [getattr(peer, what) for peer in self.peers]
+            for value in seen:
+                if seen.count(value) > 1:
+                    raise ValueError(f"peers has the {what} {value!r} twice: each instance stands there once")
+        return self
+
+
+class Takeover(_Table):
+    """Copies of work in hand at other instances, so that it outlives its gateway."""
+
+    entries: int = Field(default=20_000, ge=1, le=10_000_000, description="copies kept for others")
+    most_mb: float = Field(default=32.0, gt=0, le=65_536, description="for these copies")
+    wait_ms: int = Field(default=20, ge=1, le=1_000, description="for which a send waits for its keeper")
+    keep_ms: Milliseconds = Field(default=15_000, description="for which an answer is told again")
+    once: Literal["wait", "go"] = Field(
+        default="wait", description="effects that must not run twice wait for the keeper, or go without"
+    )
+
+
 class OperatorFile(_Table):
     """The whole file."""
 
@@ -300,6 +337,8 @@
     http: Http | None = None
     supervisor: Supervisor = Supervisor()
     fleet: Fleet | None = None
+    links: Links | None = None
+    takeover: Takeover | None = None
 
     @property
     def view(self) -> View:
@@ -323,6 +362,10 @@
                 "operations.listen is of one instance, and gateway.workers asks for several: "
                 "remove one of them; `lynxreel drain` asks every worker"
             )
+        if self.takeover is not None and self.links is None:
+            raise ValueError("takeover goes with links: tell who the other instances are")
+        if self.links is not None and self.gateway.workers:
+            raise ValueError("links are of one instance, and gateway.workers asks for several: remove one")
         longest = max(cls.deadline_ms for cls in self.classes)
         if self.drain.deadline_ms < longest:
             raise ValueError(
--- a/lynxreel/engine/engine.py
+++ b/lynxreel/engine/engine.py
@@ -35,6 +35,11 @@
     first: int
     retry: bool
     streams: bool  # it may be served a value that is passed on as it comes
+    counted: bool  # its units are on the counter already
+    back: bool  # its client has asked for it before, under this id, and comes back
+
+    def portable(self) -> tuple[bytes, ...] | None:
+        """The strings of its command, from which another instance can go on with it; None: it has none."""
 
     def command(self, wait: int) -> bytes:
         """The command for a server, which is told how many microseconds the gateway waits."""
@@ -51,6 +56,29 @@
     def failed(self) -> None:
         """Answer that it failed."""
 
+    def unknown(self) -> None:
+        """Answer that it may have run, that this will never be known, and that it will not run again."""
+
+
+class Desk(Protocol):
+    """Where fronts bring requests."""
+
+    def submit(self, call: Call) -> int:
+        """Take a request; the number is for `gone`. 0: its id is that of another one, and it is not taken."""
+
+    def gone(self, request: int) -> None:
+        """The client has left."""
+
+
+class Watch(Protocol):
+    """Who is told what becomes of requests, before whoever waits for it."""
+
+    def counted(self, request: int) -> None:
+        """An add was written as it was taken."""
+
+    def ended(self, attempt: Attempt, result: api.Result) -> None:
+        """An attempt has ended."""
+
 
 class Backend(Protocol):
     """Where attempts go."""
@@ -137,6 +165,7 @@
         self.counter: Counter
         self.tally: Tally | None = None
         self.peers: Peers | None = None
+        self.watch: Watch | None = None
         self._settings = settings
         self._loop = loop
         self._module = Gateway(settings, seed, self.clock.now())
@@ -162,7 +191,7 @@
         left = max(0, min(call.patience * 1_000, self._settings.classes[call.cls].deadline) - WAY)
         deadline = self._loop.call_later((left + LATE) / 1e6, self._outlived, request)
         self._open[request] = Open(call, self.clock.now() + left, deadline)
-        extras = (call.units, left, call.spread, call.first, call.retry)
+        extras = (call.units, left, call.spread, call.first, call.retry, call.counted)
         self.post(api.Request(request, call.cls, call.plan, call.customer, *extras))
         return request
 
@@ -209,6 +238,8 @@
         attempt.over = True
         self._out.pop((attempt.request, attempt.number), None)
         attempt.held.out -= 1
+        if self.watch is not None:
+            self.watch.ended(attempt, result)
         if result is api.Result.OK and (closed := self._close(attempt.request, "served")) is not None:
             closed.call.served(value)
         elif not isinstance(value, bytes):
@@ -234,14 +265,21 @@
             for _ in range(len(queue)):
                 event = queue.popleft()
                 try:
-                    for action in self._module.handle(self.clock.now(), event):
+                    actions = self._module.handle(self.clock.now(), event)
+                    for action in actions:
                         self._act(action)
+                    if self.watch is not None and isinstance(event, api.Request):
+                        self._tell_counted(event.id, actions)
                 except Exception:  # one request's trouble must not end the process
                     log(traceback.format_exc())
                     self._give_up(event)
                 if isinstance(event, api.Expired) or (isinstance(event, api.Outcome) and event.final):
                     self._open.pop(event.request, None)
 
+    def _tell_counted(self, request: int, actions: list[api.Action]) -> None:
+        if self.watch is not None and any(isinstance(action, api.Count) for action in actions):
+            self.watch.counted(request)
+
     def _give_up(self, event: api.Event) -> None:
         """The handling of an event went wrong: the request that it was about gets an answer."""
         if isinstance(event, api.Request):
--- a/lynxreel/fronts/http.py
+++ b/lynxreel/fronts/http.py
@@ -21,7 +21,7 @@
 
 import h11
 
-from lynxreel.engine.engine import Engine
+from lynxreel.engine.engine import Desk
 from lynxreel.fronts.draining import Draining
 from lynxreel.fronts.forwarded import Network, told
 from lynxreel.fronts.listeners import Door, Doors, OwnDoors
@@ -73,7 +73,7 @@
         """Boxes speak HTTP, by the description; else RESP2."""
         return self.serving.admission.table.http_boxes
 
-    def front(self, engine: Engine, most: int, loop: asyncio.AbstractEventLoop, doors: Doors) -> Web:
+    def front(self, engine: Desk, most: int, loop: asyncio.AbstractEventLoop, doors: Doors) -> Web:
         """The front, which listens nowhere yet; `most` connections."""
         return Web(engine, self.serving, most, loop, doors)
 
@@ -96,12 +96,16 @@
 
     def command(self, wait: int) -> bytes:
         """The command for a box: CALL.POST, whose last string says what was asked (docs/openapi.md)."""
-        names = self.serving.classes[self.cls], self.serving.plans[self.plan]
-        terms = b"c=%b,t=%b,d=%d,units=%g" % (*names, max(1, wait // 1_000), self.units)
         payload = self.whole.payload
         if trace := self.connection.trace():
             payload = b'%b,"traceparent":"%b"}' % (payload[:-1], trace.encode())
-        return resp.pack([b"CALL.POST", b"%016x" % self.customer, self.id, terms, payload])
+        return resp.pack([*self._strings(payload, max(1, wait // 1_000))])
+
+    def _strings(self, payload: bytes, wait: int) -> tuple[bytes, ...]:
+        """The command's strings; `wait` in milliseconds."""
+        names = self.serving.classes[self.cls], self.serving.plans[self.plan]
+        terms = b"c=%b,t=%b,d=%d,units=%g" % (*names, wait, self.units)
+        return b"CALL.POST", b"%016x" % self.customer, self.id, terms, payload
 
     def exchange(self, wait: int) -> Exchange:
         """The request for a box that speaks HTTP: written anew, with whose it is and what it costs."""
@@ -131,6 +135,13 @@
             self._end(200, _kind(value), value, (), True)
 
     streams = False  # what a client gets by HTTP has its length and its end known
+    counted = back = False
+
+    def portable(self) -> tuple[bytes, ...] | None:
+        """The strings of its command, where boxes are sent one."""
+        if self.whole.head.route.boxes is not None:
+            return None
+        return self._strings(self.whole.payload, self.patience)
 
     def refused(self, wait: int) -> None:
         """Answer that it may come again, after so many microseconds if not 0."""
@@ -151,6 +162,11 @@
         status = 504 if late else 503
         self._end(status, PROBLEM, problem(status, "No answer in time" if late else "No box", ""))
 
+    def unknown(self) -> None:
+        """Answer that it may have run, and will not run again."""
+        told = "it may have run before its gateway was lost, and is not run again"
+        self._end(500, PROBLEM, problem(500, "Outcome unknown", told))
+
     def _end(self, status: int, kind: str, body: bytes, headers: Fields = (), box: bool = False) -> None:
         """Answer; `box`: as a box did."""
         self.request = 0
@@ -528,7 +544,7 @@
     """The HTTP listeners and all their connections."""
 
     def __init__(
-        self, engine: Engine, serving: Serving, most: int, loop: asyncio.AbstractEventLoop,
+        self, engine: Desk, serving: Serving, most: int, loop: asyncio.AbstractEventLoop,
         doors: Doors | None = None,
     ) -> None:  # fmt: skip
         """`doors`: where its listeners come from; it opens them itself by default."""
--- a/lynxreel/fronts/resp2.py
+++ b/lynxreel/fronts/resp2.py
@@ -6,14 +6,15 @@
 import math
 import re
 from collections import deque
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from itertools import islice
 from typing import TYPE_CHECKING, cast
 
-from lynxreel.engine.engine import Engine
+from lynxreel.engine.engine import Desk
 from lynxreel.fronts.draining import Draining
 from lynxreel.fronts.listeners import Door, Doors, OwnDoors
-from lynxreel.protocol import resp
+from lynxreel.protocol import commands, resp
 from lynxreel.relay.stream import Stream
 from mothgap.interface import Effect, Settings
 from mothgap.settings import Names
@@ -44,6 +45,9 @@
 }  # fmt: skip
 
 
+BACK = {b"back": re.compile(rb"[01]")}  # a client that comes back for a request, where such are taken
+
+
 class BadCall(ValueError):
     """What a client sent is no call; the text is its answer."""
 
@@ -58,10 +62,11 @@
     most_units: float
     gateways: int  # as clients count them, by address
     workers: int = 1  # instances behind each address
+    forms: Mapping[bytes, re.Pattern[bytes]] = field(default_factory=lambda: TERMS)  # of the list's names
 
     @classmethod
-    def of(cls, settings: Settings, names: Names, workers: int = 1) -> Terms:
-        """Of these settings, with so many instances behind each address."""
+    def of(cls, settings: Settings, names: Names, workers: int = 1, back: bool = False) -> Terms:
+        """Of these settings, with so many instances behind each address. `back`: clients may come back."""
         return cls(
             {name.encode(): number for name, number in names.classes.items()},
             tuple(c.effect is not Effect.REPEATABLE for c in settings.classes),
@@ -69,6 +74,7 @@
             settings.units_top,
             settings.fleet_size // workers,
             workers,
+            TERMS | BACK if back else TERMS,
         )
 
 
@@ -76,8 +82,9 @@
     """One command of a client, from its reading to its answer."""
 
     streams = True
-    __slots__ = ("cls", "connection", "customer", "first", "id", "patience", "plan", "reply", "request",
-                 "retry", "spread", "units", "words")  # fmt: skip
+    counted = False
+    __slots__ = ("back", "cls", "connection", "customer", "first", "id", "patience", "plan", "reply",
+                 "request", "retry", "spread", "units", "words")  # fmt: skip
 
     def __init__(self, connection: Connection) -> None:
         self.connection = connection
@@ -92,7 +99,7 @@
         given: dict[bytes, bytes] = {}
         for item in words[3].split(b","):
             name, _, value = item.partition(b"=")
-            if name in given or (form := TERMS.get(name)) is None or not form.fullmatch(value):
+            if name in given or (form := terms.forms.get(name)) is None or not form.fullmatch(value):
                 raise BadCall("bad list")
             given[name] = value
         try:
@@ -109,31 +116,24 @@
         self.customer, self.id, self.words = customer, words[2], words
         self.units = float(given.get(b"units", 1))
         self.spread, self.first = int(given.get(b"spread", 1)), int(given.get(b"first", 0))
-        self.retry = given.get(b"r") == b"1"
+        self.retry, self.back = given.get(b"r") == b"1", given.get(b"back") == b"1"
         known = 1 <= self.spread <= terms.gateways and self.first < terms.gateways
         if not (0 < self.units <= terms.most_units and self.patience > 0 and known):
             raise BadCall("number out of range")
         # Any worker of a gateway may get the request: they are its customer's set.
         self.spread, self.first = self.spread * terms.workers, self.first * terms.workers
 
+    def portable(self) -> tuple[bytes, ...]:
+        """The strings of its command."""
+        return tuple(self.words)
+
     def command(self, wait: int) -> bytes:
         """The command for a server, which is told how long the gateway waits."""
-        patience = b"d=%d" % max(1, wait // 1_000)
-        terms = b",".join([patience if t.startswith(b"d=") else t for t in self.words[3].split(b",")])
-        return resp.pack([*self.words[:3], terms, *self.words[4:]])
+        return commands.command(self.words, wait)
 
     def exchange(self, wait: int) -> Exchange:
-        """The same for a box that speaks HTTP: a POST that says all of it (docs/openapi.md)."""
-        # Imported here: on the platform no box speaks HTTP.
-        from lynxreel.protocol.exchange import Exchange
-
-        command, customer, number, terms = (word.decode("latin-1") for word in self.words[:4])
-        headers = (
-            ("Lynxreel-Command", command), ("Lynxreel-Customer", customer), ("Lynxreel-Request", number),
-            ("Lynxreel-Terms", terms), ("Lynxreel-Wait-Ms", str(max(1, wait // 1_000))),
-            ("Content-Type", "application/octet-stream"),
-        )  # fmt: skip
-        return Exchange("POST", "/lynxreel/call", headers, b"".join(self.words[4:]), value=True)
+        """The same for a box that speaks HTTP."""
+        return commands.exchange(self.words, wait)
 
     def served(self, value: bytes | Stream) -> None:
         """Answer with a server's value."""
@@ -147,6 +147,10 @@
         """Answer that it failed."""
         self._answer(b"-ERR failed\r\n")
 
+    def unknown(self) -> None:
+        """Answer that it may have run, and will not run again."""
+        self._answer(b"-UNKNOWN it may have run, and is not run again\r\n")
+
     def _answer(self, reply: bytes | Stream) -> None:
         self.reply, self.request = reply, 0
         self.connection.flush()
@@ -386,7 +390,7 @@
     """The listener and all its connections."""
 
     def __init__(
-        self, engine: Engine, terms: Terms, most: int, loop: asyncio.AbstractEventLoop,
+        self, engine: Desk, terms: Terms, most: int, loop: asyncio.AbstractEventLoop,
         doors: Doors | None = None,
     ) -> None:  # fmt: skip
         """`doors`: where its listeners come from; it opens them itself by default."""
--- a/lynxreel/local/deployment.py
+++ b/lynxreel/local/deployment.py
@@ -52,9 +52,11 @@
     def __init__(
         self, folder: Path, gateways: int, rate: float, seed: int, boxes: int = 0,
         edit: Callable[[str], str] = str, env: Mapping[str, str] | None = None, http: bool = False,
-        link: Callable[[Listener, Box], BoxLink] = Resp2Link, workers: int = 0,
+        link: Callable[[Listener, Box], BoxLink] = Resp2Link, workers: int = 0, takeover: bool = False,
+        zones: int = 1,
     ) -> None:  # fmt: skip
-        """`edit` has the last word on operator files; `env` is added to the gateways' environment; `http`:
+        """`takeover`: work in hand is kept at others, and clients come back for it; `zones` of instances.
+        `edit` has the last word on operator files; `env` is added to the gateways' environment; `http`:
         each gateway has an HTTP front, too; `link`: what boxes speak; `workers`: of each gateway."""
         self._edit, self._env = edit, {**os.environ, "PYTHONUNBUFFERED": "1", **(env or {})}
         self.folder, self.count, self.rate, self.seed = folder, gateways, rate, seed
@@ -69,6 +71,8 @@
         self._box_count, self._clock = boxes or files.boxes_for(rate), clock
         self.gateways: list[Gateway] = []
         self._http, self._link, self._workers = http, link, workers
+        self._takeover, self._zones = takeover, zones
+        self.links: list[tuple[str, int]] = []  # where instances hear each other, by gateway
         self.http_at: dict[int, tuple[str, int]] = {}  # by gateway
         self.counter_at: dict[int, tuple[str, int]] = {}  # gateways that call another counter
         self.front: Front
@@ -84,18 +88,21 @@
         )
         self.registry.put(*[entry(box.name, box.listener.address) for box in self.boxes])
         # Held until all are drawn, so that no two gateways are given the same port.
-        fronts = 2 if self._http else 1
+        fronts = 1 + self._http + self._takeover
         holders = [socket.create_server((HOST, 0)) for _ in range(self.count * fronts)]
         addresses = [holder.getsockname()[:2] for holder in holders]
         for holder in holders:
             holder.close()
+        if self._takeover:
+            addresses, self.links = addresses[: -self.count], addresses[-self.count :]
         if self._http:
             web.write(self.folder, self._link is not Resp2Link)
             self.http_at = dict(enumerate(addresses[self.count :]))
             addresses = addresses[: self.count]
         for number, address in enumerate(addresses):
             self.gateways.append(await self._launch(number, address))
-        self.front = Front([gateway.gate for gateway in self.gateways], self.ledger, self.seed)
+        gates = [gateway.gate for gateway in self.gateways]
+        self.front = Front(gates, self.ledger, self.seed, back=self._takeover)
         waiting = asyncio.ensure_future(self.front.ready())
         ends = [asyncio.ensure_future(gateway.process.wait()) for gateway in self.gateways]
         await asyncio.wait([waiting, *ends], return_when=asyncio.FIRST_COMPLETED)
@@ -117,6 +124,8 @@
         )
         if number in self.http_at:
             text += web.table(self.folder, self.http_at[number])
+        if self.links:
+            text += files.takeover_tables(number, self.links, self._zones)
         path.write_text(self._edit(text) + more)
         return path
 
--- a/lynxreel/local/files.py
+++ b/lynxreel/local/files.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from pathlib import Path
 
+from lynxreel.protocol.address import Address
 from lynxreel.standins.ledger import Quota
 from lynxreel.standins.world import AIMS, CLASSES, CORES, LOAD, WORK, WORTH
 
@@ -14,6 +16,16 @@
     return max(4, -int(-rate * work // (CORES * LOAD)))
 
 
+def takeover_tables(number: int, links: Sequence[Address], zones: int) -> str:
+    """The tables of an instance whose work in hand is kept by the others, at these addresses."""
+    peers = "".join(
+        f'\n[[links.peers]]\nname = "g{n}"\naddress = "{host}:{port}"\nzone = "z{n % zones}"\n'
+        for n, (host, port) in enumerate(links)
+    )
+    host, port = links[number]
+    return f'\n[links]\nlisten = "{host}:{port}"\nzone = "z{number % zones}"\n{peers}\n[takeover]\n'
+
+
 def operator_file(
     folder: Path, number: int, gateways: int, listen: str, discovery: str, counter: str,
     plans: dict[str, Quota], workers: int = 0,
--- a/lynxreel/local/run.py
+++ b/lynxreel/local/run.py
@@ -44,6 +44,8 @@
     parser.add_argument("--kill", type=int, default=0, help="gateways killed together, with SIGKILL")
     parser.add_argument("--drain", type=int, default=0, help="gateways drained, one by one")
     parser.add_argument("--reload", type=int, default=0, help="reloads of random gateways")
+    parser.add_argument("--takeover", action="store_true", help="work in hand outlives its gateway")
+    parser.add_argument("--zones", type=int, default=1, help="of gateways, in turn")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--report", type=Path, help="write the books to this file, as JSON")
     parser.add_argument("--folder", type=Path, help="for operator files, logs and records")
@@ -66,6 +68,8 @@
         "latency_ms": {"p50": front.percentile(0.5), "p99": front.percentile(0.99)},
         "worst_lag_ms": round(front.lag * 1e3),
         "steps": [{"at": round(s.at, 3), "what": s.what, "gateways": list(s.gateways)} for s in steps],
+        "held": len(front.losses),
+        "back": dict(Counter(loss.how or "in vain" for loss in front.losses)),
         "ends": ends,
         "seed": deployment.seed,
     }
@@ -136,8 +140,9 @@
     http = importlib.util.find_spec("jsonschema_rs") is not None  # of the extra `openapi`
     link = HttpLink if args.http_boxes else Resp2Link
     deployment = Deployment(
-        folder, args.gateways, args.rate, args.seed, args.boxes, http=http, link=link, workers=args.workers
-    )
+        folder, args.gateways, args.rate, args.seed, args.boxes, http=http, link=link, workers=args.workers,
+        takeover=args.takeover, zones=args.zones,
+    )  # fmt: skip
     loop = asyncio.get_running_loop()
     ended = asyncio.Event()
     for number in (signal.SIGINT, signal.SIGTERM):
@@ -166,6 +171,7 @@
         args.report.write_text(json.dumps(books, indent=2) + "\n")
     if not args.quiet:
         whole = {what: value for what, value in books.items() if isinstance(value, int | float)}
+        whole |= {"back": books["back"]} if args.takeover else {}
         print(json.dumps(whole))
     for problem in books["problems"]:
         print(problem, file=sys.stderr)
@@ -180,6 +186,8 @@
     """Run it; 1 where a rule was broken, 2 where the words make no sense."""
     try:
         script(args.seed, args.seconds, args.gateways, args.kill, args.drain, args.reload)
+        if args.takeover and (args.workers or args.zones < 1):
+            raise ValueError("--takeover goes without --workers, and with one zone at least")
     except ValueError as wrong:
         print(f"lynxreel local: {wrong}", file=sys.stderr)
         return 2
--- a/lynxreel/node.py
+++ b/lynxreel/node.py
@@ -13,7 +13,7 @@
 from lynxreel.backends.pools import Servers, Wire
 from lynxreel.backends.resp2 import Resp2
 from lynxreel.counters.bump import Counter
-from lynxreel.engine.engine import Clock, Engine
+from lynxreel.engine.engine import Clock, Desk, Engine
 from lynxreel.fronts.listeners import Doors, OwnDoors
 from lynxreel.fronts.resp2 import Clients, Terms
 from lynxreel.peers.datagrams import Peers
@@ -32,6 +32,8 @@
     from lynxreel.metering.guarded import Guarded
     from lynxreel.sources.etcd import EtcdList, EtcdSource
     from lynxreel.sources.files import FileList, WatchedFile
+    from lynxreel.takeover.cover import Cover
+    from lynxreel.takeover.cover import Plan as TakeoverPlan
 
 FIRST_NEWS = 0.1  # seconds that a start waits for discovery, and for the counter, before it goes on without
 OWN_SOCKETS = 32  # descriptors for the counter, discovery, the loop and the standard streams
@@ -67,6 +69,7 @@
     part: float = 1.0  # of its even share of ceilings that this instance holds
     held: int = 16 << 20  # bytes that may be held of values that are passed on as they come
     peers: PeerPlan | None = None  # where `settings.limits.peers` allows messages between gateways
+    takeover: TakeoverPlan | None = None  # where other instances keep copies of work in hand
 
 
 class Node:
@@ -90,11 +93,18 @@
         self._counted_at: Address | Options | None = None
         self.guard: Guarded | None = None
         self._count(deployment)
+        self.cover: Cover | None = None
+        if deployment.takeover is not None:
+            from lynxreel.takeover.cover import Cover  # here: only where it is configured
+
+            self.cover = Cover(deployment.takeover, self.engine, self.servers, loop)
+            self.cover.adopt(settings, deployment.places)
+        desk: Desk = self.cover or self.engine
         doors = doors or OwnDoors(loop)
-        self.clients = Clients(self.engine, self._terms(deployment), clients, loop, doors)
+        self.clients = Clients(desk, self._terms(deployment), clients, loop, doors)
         self.web: Web | None = None
         if deployment.http is not None:  # its connections are as many again: docs/openapi.md
-            self.web = deployment.http.front(self.engine, clients // 2, loop, doors)
+            self.web = deployment.http.front(desk, clients // 2, loop, doors)
         self.peers: Peers | None = None
         if deployment.peers is not None:
             addresses, index = deployment.peers.addresses, settings.index
@@ -112,7 +122,8 @@
 
     @staticmethod
     def _terms(deployment: Deployment) -> Terms:
-        return Terms.of(deployment.settings, deployment.names, deployment.workers)
+        back = deployment.takeover is not None
+        return Terms.of(deployment.settings, deployment.names, deployment.workers, back)
 
     @staticmethod
     def _wire(deployment: Deployment) -> Wire:
@@ -209,6 +220,8 @@
         """
         if self.peers is not None and self.deployment.peers is not None:
             await self.peers.open(self.deployment.peers.listen, self.deployment.peers.beside)
+        if self.cover is not None:
+            await self.cover.open()
         reaching = self._loop.create_task(self._reach())
         await self.warm(patience)
         await reaching
@@ -292,6 +305,8 @@
                 self.engine.share(deployment.part)
             self.engine.adopt(settings)
             self.servers.adopt(settings, names.idle, servers)
+            if self.cover is not None:
+                self.cover.adopt(settings, deployment.places)
             self.clients.adopt(self._terms(deployment), clients)
             if self.web is not None and deployment.http is not None:
                 self.web.adopt(deployment.http.serving)
@@ -360,3 +375,5 @@
             self.peers.close()
         if self.counter is not None:
             self.counter.close()
+        if self.cover is not None:
+            self.cover.close()  # last: whoever finds its address closed takes this instance for dead
--- a/lynxreel/standins/clients.py
+++ b/lynxreel/standins/clients.py
@@ -40,6 +40,19 @@
     command: bytes
     entry: Try
     crossed: bool = False
+    words: list[bytes] = field(default_factory=list)
+    loss: Loss | None = None  # its gateway was killed, and its client has come to another one
+
+
+@dataclass
+class Loss:
+    """A request that a gateway held when it was killed, and what became of it elsewhere."""
+
+    cls: str
+    left: float  # seconds of its time then
+    came: bool  # it had come to a box
+    how: str = ""  # empty: nothing in time
+    took: float = 0.0  # seconds from the loss to the answer
 
 
 @dataclass
@@ -75,7 +88,10 @@
         loop = self._front.loop
         until = ask.entry.deadline + self._front.ledger.slack
         self._timer = loop.call_at(until, self._front.overdue, self)
-        self._front.ledger.ask(ask.number, ask.entry)
+        if ask.loss is None:
+            self._front.ledger.ask(ask.number, ask.entry)
+        else:
+            self._front.ledger.moved(ask.number, self.gate.name)
         self.transport.write(ask.command)
 
     def data_received(self, data: bytes) -> None:
@@ -120,7 +136,11 @@
 class Front:
     """Deals requests out among the gateways of each customer's set, and plays the clients behind it."""
 
-    def __init__(self, gates: list[Gate], ledger: Ledger, seed: int, retries: int = 1) -> None:
+    def __init__(
+        self, gates: list[Gate], ledger: Ledger, seed: int, retries: int = 1, back: bool = False
+    ) -> None:
+        """`back`: what a killed gateway held is asked of another one, under the id that it had."""
+        self._back, self.losses = back, list[Loss]()
         self.loop = asyncio.get_running_loop()
         self.gates, self.ledger = gates, ledger
         self.counts: Counter[str] = Counter()  # unsent, resent, unreachable
@@ -187,7 +207,7 @@
             gate.name, 0.0, 0.0, wanted.tries > 0,
         )  # fmt: skip
         wanted.tries += 1
-        self._send(_Ask(wanted, number, pack(words), entry), gate)
+        self._send(_Ask(wanted, number, pack(words), entry, words=words), gate)
 
     def _send(self, ask: _Ask, gate: Gate) -> None:
         ask.entry.gateway = gate.name
@@ -200,7 +220,8 @@
 
     def _carry(self, link: _Link, ask: _Ask) -> None:
         now = self.loop.time()
-        ask.entry.asked, ask.entry.deadline = now, max(now, ask.wish.until)
+        if ask.loss is None:
+            ask.entry.asked, ask.entry.deadline = now, max(now, ask.wish.until)
         link.carry(ask)
 
     async def _connect(self, ask: _Ask, gate: Gate) -> None:
@@ -211,6 +232,9 @@
             # It could not be reached, so it has not run: any class may come again, elsewhere.
             self.counts["unreachable"] += 1
             gate.up = False
+            if ask.loss is not None:
+                self._elsewhere(ask)
+                return
             ask.wish.tries -= 1
             self._ask(ask.wish)
             return
@@ -221,6 +245,8 @@
     def answered(self, link: _Link, ask: _Ask, answer: bytes) -> None:
         """An answer is here."""
         now = self.loop.time()
+        if ask.loss is not None:
+            self._settled(ask, answer, now)
         if answer[:1] == b"$" and answer != b"$-1":
             if answer[1:] == value_for(ask.number):
                 self.ledger.answer(ask.number, "served", now)
@@ -231,6 +257,8 @@
             self.ledger.answer(ask.number, "refused", now)
             told = answer[6:]
             self._again(ask, int(told) / 1e3 if told.isdigit() else 0.0)
+        elif answer.startswith(b"-UNKNOWN"):
+            self.ledger.answer(ask.number, "unknown", now)
         else:
             self.ledger.answer(ask.number, "failed", now)
             if not ask.entry.unsafe:
@@ -256,7 +284,13 @@
 
     def broken(self, gate: Gate, ask: _Ask, begun: bool) -> None:
         """Its connection has ended without an answer."""
-        if gate.dead:
+        if gate.dead and self._back:
+            if ask.loss is None:
+                left, came = ask.entry.deadline - self.loop.time(), self.ledger.arrived(ask.number)
+                ask.loss = Loss(ask.entry.cls, left, came)
+                self.losses.append(ask.loss)
+            self._elsewhere(ask)
+        elif gate.dead:
             self.ledger.held(ask.number)
             if not ask.entry.unsafe:
                 self._again(ask, 0.0)
@@ -271,6 +305,31 @@
             # On a new one: kept ones may be on their way to be closed, too.
             self._begin(self._connect(ask, gate))  # where that can't be reached, another of its set follows
 
+    def _elsewhere(self, ask: _Ask) -> None:
+        """The client comes to another gateway with the id that it had, while it has time."""
+        left = ask.entry.deadline - self.loop.time()
+        gates = [gate for gate in self.gates if gate.up and not gate.dead]
+        if left <= 0:
+            self.ledger.held(ask.number)
+        elif not gates:
+            self.loop.call_later(LEAST_PAUSE, self._elsewhere, ask)
+        else:
+            number, _, body = ask.words[2], ask.words[3], ask.words[4:]
+            terms = [t for t in ask.words[3].split(b",") if not t.startswith((b"d=", b"back="))]
+            terms += [b"d=%d" % max(1, left * 1e3), b"back=1"]
+            ask.words = [*ask.words[:2], number, b",".join(terms), *body]
+            ask.command = pack(ask.words)
+            self._begin(self._connect(ask, self._random.choice(gates)))
+
+    @staticmethod
+    def _settled(ask: _Ask, answer: bytes, now: float) -> None:
+        """What was held by a killed gateway has its answer."""
+        loss = ask.loss
+        assert loss is not None
+        if now <= ask.entry.deadline:
+            loss.how = "served" if answer[:1] == b"$" else answer[1:].partition(b" ")[0].decode().lower()
+        loss.took = now - (ask.entry.deadline - loss.left)
+
     # --- the front --------------------------------------------------------------------------------------
 
     async def _ping(self, gate: Gate) -> None:
--- a/lynxreel/standins/ledger.py
+++ b/lynxreel/standins/ledger.py
@@ -13,7 +13,8 @@
 SLACK = 0.05  # seconds that an answer may be late by the measure of a client: the way and both ends' loops
 CEILING_SPAN = 10.0  # seconds over which the ceiling is held against what was sent on
 KEEP = 120.0  # seconds after which what is settled is folded into the counts: no try lives for so long
-FIELDS = ("taken", "served", "refused", "failed", "lost", "duplicated", "late", "ran_twice", "held_by_dead")
+FIELDS = ("taken", "served", "refused", "failed", "unknown", "lost", "duplicated", "late", "ran_twice",
+          "held_by_dead")  # fmt: skip
 
 
 @dataclass(frozen=True)
@@ -112,7 +113,7 @@
         self._fold(entry.asked)
 
     def answer(self, number: bytes, how: str, at: float) -> None:
-        """Its answer is here: served, refused or failed."""
+        """Its answer is here: served, refused, failed, or that it will never be known."""
         entry = self._close(number)
         if entry is None:
             return
@@ -144,6 +145,14 @@
         if entry is not None:
             self._count(entry, "held_by_dead")
 
+    def moved(self, number: bytes, gateway: str) -> None:
+        """Its gateway was killed, and its client asks another one for it; it is one request still."""
+        entry = self._tries.get(number)
+        if entry is not None and not entry.closed:
+            self._count(entry, "held_by_dead")
+            entry.gateway = gateway
+            self._count(entry, "taken")
+
     def crossed(self, number: bytes) -> None:
         """Its connection was closed before it was read; it goes out again and was never taken."""
         entry = self._close(number)
--- /dev/null
+++ b/lynxreel/takeover/cover.py
@@ -0,0 +1,274 @@
+"""The shell round `Work`: between fronts and engine, between engine and boxes, and on the links."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from lynxreel.engine.engine import WAY, Attempt, Call, Engine
+from lynxreel.links.mesh import Mesh, Place
+from lynxreel.links.peers import News
+from lynxreel.links.rank import Ranks
+from lynxreel.log import log
+from lynxreel.takeover import work as core
+from lynxreel.takeover.calls import Covered, tell
+from lynxreel.takeover.incarnation import next_incarnation
+from lynxreel.takeover.messages import KINDS, Answer, How, Record
+from lynxreel.takeover.work import Carry, Class, Give, Go, Leave, Say, Stay, Terms, Work
+from mothgap.interface import Effect, Result, Settings
+
+if TYPE_CHECKING:
+    from lynxreel.backends.pools import Servers
+    from lynxreel.relay.stream import Stream
+
+LINKS = 0.1  # seconds that a start waits for the links: what is taken before is covered by nobody
+
+
+@dataclass(frozen=True)
+class Plan:
+    """Who the instances are, and what is kept; times in microseconds."""
+
+    own: Place
+    others: tuple[Place, ...]
+    folder: str
+    entries: int
+    size: int
+    wait: int
+    keep: int
+    sure: bool
+
+
+class Cover:
+    """One instance's work in hand, and what it keeps of others'."""
+
+    def __init__(
+        self, plan: Plan, engine: Engine, servers: Servers, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        """`adopt` follows before anything else."""
+        self._plan, self._engine, self._servers, self._loop = plan, engine, servers, loop
+        engine.backend, engine.watch = self, self
+        others = [place for place in plan.others if place.name != plan.own.name]
+        incarnation = next_incarnation(Path(plan.folder))
+        self.mesh = Mesh(plan.own, incarnation, others, KINDS, self._heard, self._news, loop)
+        zones = {place.name: place.zone for place in (plan.own, *others)}
+        self._classes: dict[str, Class] = {}
+        terms = Terms(
+            plan.own.name, self._classes, plan.entries, plan.size, plan.wait, plan.keep, plan.sure
+        )
+        self.work = Work(terms, self.mesh.peers, Ranks(zones))
+        self._tokens = itertools.count(1)
+        self._calls: dict[int, Call] = {}  # clients that wait here
+        self._timers: dict[int, asyncio.TimerHandle] = {}  # of those that came back
+        self._fresh: dict[int, Covered] = {}  # those that no keeper has been told of, by token
+        self._covered: dict[int, Covered] = {}  # by the engine's number
+        self._by_id: dict[bytes, Covered] = {}
+        self._held: dict[tuple[bytes, int], tuple[Attempt, int]] = {}  # attempts, and when their time is over
+        self._timer: asyncio.TimerHandle | None = None
+        self._due: int | None = None
+
+    def adopt(self, settings: Settings, places: tuple[Mapping[str, int], Mapping[str, int]]) -> None:
+        """Go by these settings from now on; `places` of classes and plans by name."""
+        self._settings = settings
+        self._places = places
+        self._names = tuple({number: name for name, number in named.items()} for named in places)
+        for name, number in places[0].items():
+            cls = settings.classes[number]
+            self._classes[name] = Class(cls.effect, cls.key_memory)
+
+    async def open(self) -> None:
+        """Listen to the others, and wait a moment for them. Raises an OSError where the address is taken."""
+        await self.mesh.open()
+        last = self._loop.time() + LINKS
+        while len(self.mesh.peers.up()) < len(self.mesh.places) and self._loop.time() < last:
+            await asyncio.sleep(LINKS / 20)
+
+    def close(self) -> None:
+        """The end of the process."""
+        for timer in self._timers.values():
+            timer.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
+        self.mesh.close()
+
+    def _now(self) -> int:
+        """Microseconds that run evenly, whatever is done to the clock."""
+        return int(self._loop.time() * 1e6)
+
+    # --- the fronts -------------------------------------------------------------------------------------
+
+    def submit(self, call: Call) -> int:
+        """Take a request, or a client that comes back for one."""
+        token = next(self._tokens)
+        if call.back:
+            self._calls[token] = call
+            self._loop.call_soon(self._come, token, call)
+            return token
+        covered = Covered(call, self._ended, token)
+        covered.request = self._engine.submit(covered)
+        if not covered.request:
+            return 0
+        self._calls[token] = call
+        self._fresh[token] = self._covered[covered.request] = covered
+        self._loop.call_soon(self._accept, covered)
+        return token
+
+    def gone(self, token: int) -> None:
+        """A client has left."""
+        self._calls.pop(token, None)
+        if (timer := self._timers.pop(token, None)) is not None:
+            timer.cancel()
+        if (covered := self._fresh.pop(token, None)) is not None:
+            covered.over = True
+            self._engine.gone(covered.request)
+            self._covered.pop(covered.request)
+        else:
+            self._act(self.work.left(self._now(), token))
+
+    def _come(self, token: int, call: Call) -> None:
+        if token not in self._calls:
+            return
+        left = max(0, min(call.patience * 1_000, self._settings.classes[call.cls].deadline) - WAY)
+        effect = self._settings.classes[call.cls].effect
+        self._timers[token] = self._loop.call_later(left / 1e6, self._overdue, token, effect)
+        self._act(self.work.back(self._now(), token, call.id, call.customer, effect))
+
+    def _overdue(self, token: int, effect: Effect) -> None:
+        self._timers.pop(token, None)
+        self._act(self.work.overdue(token, effect))
+
+    def _accept(self, covered: Covered) -> None:
+        """The decision module has seen it; whether its units were added is known by now."""
+        if covered.accepted or covered.over or (words := covered.portable()) is None:
+            return
+        del self._fresh[covered.token]
+        covered.accepted = True
+        self._by_id[covered.id] = covered
+        record = Record(
+            covered.id, covered.customer, self._names[0][covered.cls], self._names[1][covered.plan],
+            covered.units, covered.spread, covered.first, words,
+        )  # fmt: skip
+        left = max(0, min(covered.patience * 1_000, self._settings.classes[covered.cls].deadline) - WAY)
+        self._act(self.work.accepted(self._now(), record, left, covered.counted, covered.token))
+
+    def _ended(self, covered: Covered, answer: Answer, value: bytes | Stream) -> None:
+        """The engine has its final answer."""
+        covered.over = True
+        self._covered.pop(covered.request, None)
+        if not covered.accepted:
+            self._fresh.pop(covered.token, None)
+            if (call := self._calls.pop(covered.token, None)) is not None:
+                tell(call, answer, value, False)
+            return
+        if self._by_id.get(covered.id) is covered:
+            del self._by_id[covered.id]
+        waits = covered.token in self._calls
+        self._act(self.work.finished(self._now(), covered.id, answer), (covered.token, value))
+        if not isinstance(value, bytes) and not (waits and covered.token not in self._calls):
+            value.gone()  # nobody waits for it
+
+    # --- the engine -------------------------------------------------------------------------------------
+
+    def counted(self, request: int) -> None:
+        """An add was written as it was taken."""
+        if (covered := self._covered.get(request)) is not None:
+            covered.counted = True
+
+    def ended(self, attempt: Attempt, result: Result) -> None:
+        """An attempt has ended."""
+        if result.never_ran:
+            self.work.missed(attempt.call.id, attempt.number)
+
+    def send(self, attempt: Attempt, timeout: int) -> None:
+        """Start an attempt, as soon as that is down where it has to be."""
+        call, now = attempt.call, self._now()
+        if isinstance(call, Covered) and not call.accepted:
+            self._accept(call)
+        self._held[(call.id, attempt.number)] = (attempt, now + timeout)
+        self._act(self.work.intends(now, call.id, attempt.number, attempt.server))
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Give an attempt up."""
+        if self._held.pop((attempt.call.id, attempt.number), None) is not None:
+            self._engine.finished(attempt, Result.NOT_SENT)
+        else:
+            self._servers.cancel(attempt)
+
+    # --- the links --------------------------------------------------------------------------------------
+
+    def _heard(self, name: str, incarnation: int, message: Any) -> None:
+        self._act(self.work.heard(self._now(), name, incarnation, message))
+
+    def _news(self, news: Iterable[News]) -> None:
+        for item in news:
+            self._act(self.work.news(self._now(), item))
+
+    # --- what is to be done -----------------------------------------------------------------------------
+
+    def _act(self, actions: list[core.Action], at_hand: tuple[int, bytes | Stream] | None = None) -> None:
+        """`at_hand`: a client and its value as it came, of which its answer may hold less."""
+        for action in actions:
+            match action:
+                case Say():
+                    self.mesh.say(action.to, action.message)
+                case Give():
+                    self._give(action, at_hand)
+                case Go():
+                    if (held := self._held.pop((action.id, action.attempt), None)) is not None:
+                        self._servers.send(held[0], max(0, held[1] - self._now()))
+                case Stay():
+                    if (held := self._held.pop((action.id, action.attempt), None)) is not None:
+                        self._engine.finished(held[0], Result.NOT_SENT)
+                case Carry():
+                    self._carry(action)
+                case Leave():
+                    if (covered := self._by_id.pop(action.id, None)) is not None:
+                        covered.over = True
+                        self._covered.pop(covered.request, None)
+                        self._engine.gone(covered.request)
+        self._arm()
+
+    def _give(self, give: Give, at_hand: tuple[int, bytes | Stream] | None) -> None:
+        if (timer := self._timers.pop(give.token, None)) is not None:
+            timer.cancel()
+        call = self._calls.pop(give.token, None)
+        if call is None:
+            return
+        value = at_hand[1] if at_hand is not None and at_hand[0] == give.token else None
+        harmless = self._settings.classes[call.cls].effect is not Effect.ONCE
+        tell(call, give.answer, value, harmless)
+
+    def _carry(self, carry: Carry) -> None:
+        """Go on in a lost instance's place, through the decision module."""
+        record = carry.record
+        places = (self._places[0].get(record.cls), self._places[1].get(record.plan))
+        if places[0] is None or places[1] is None:
+            log(f"work of class {record.cls} and plan {record.plan} can't be gone on with: unknown here")
+            self._act(self.work.finished(self._now(), record.id, Answer(How.FAILED)))
+            return
+        patience = (carry.left + WAY) // 1_000
+        covered = Covered.revived(record, (places[0], places[1]), patience, carry.counted, self._ended)
+        covered.request = self._engine.submit(covered)
+        if not covered.request:  # an attempt under this id is out here still
+            self._act(self.work.finished(self._now(), record.id, Answer(How.FAILED)))
+            return
+        self._covered[covered.request] = covered
+        self._by_id[record.id] = covered
+
+    def _arm(self) -> None:
+        due = self.work.due()
+        if due == self._due:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._due = due
+        self._timer = None
+        if due is not None:
+            self._timer = self._loop.call_at(due / 1e6, self._tick)
+
+    def _tick(self) -> None:
+        self._due = self._timer = None
+        self._act(self.work.tick(self._now()))
--- /dev/null
+++ b/lynxreel/takeover/messages.py
@@ -0,0 +1,119 @@
+"""What instances tell each other of work in hand. Times are microseconds, and spans only: clocks differ."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+import msgspec
+
+
+class How(IntEnum):
+    """How a request ended, or that there is nothing to tell."""
+
+    NONE = 0  # it is not held here
+    SERVED = 1
+    REFUSED = 2  # nothing has run
+    FAILED = 3  # it may have run
+    UNKNOWN = 4  # it may have run, and nobody will ever know
+    UNKEPT = 5  # it was served with more than is kept
+
+
+class Answer(msgspec.Struct, frozen=True, array_like=True):
+    """A final answer. `wait`: after which to come again, where it was refused."""
+
+    how: How
+    value: bytes = b""
+    wait: int = 0
+    status: int = 0  # of an answer over HTTP, with its header fields; 0 for any other
+    fields: tuple[tuple[str, str], ...] = ()
+
+
+NONE, UNKNOWN, REFUSED = Answer(How.NONE), Answer(How.UNKNOWN), Answer(How.REFUSED)
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    """A request, as another instance needs it to go on with it."""
+
+    id: bytes
+    customer: int
+    cls: str
+    plan: str
+    units: float
+    spread: int
+    first: int
+    call: tuple[bytes, ...]  # the strings of the command that boxes are sent
+
+    @property
+    def size(self) -> int:
+        """Bytes that it takes, roughly."""
+        return 200 + len(self.id) + sum(len(word) + 40 for word in self.call)
+
+
+class Put(msgspec.Struct, frozen=True, array_like=True, tag="put"):
+    """Keep this. Sent again it brings what is kept up to date."""
+
+    record: Record
+    epoch: int
+    left: int  # until its client gives up
+    counted: bool  # its units are on the counter, or may be
+    sent: int = -1  # since its first attempt that may have run; -1 where there is none
+    answer: Answer | None = None
+
+
+class Intent(msgspec.Struct, frozen=True, array_like=True, tag="intent"):
+    """An attempt is about to be made."""
+
+    id: bytes
+    epoch: int
+    attempt: int
+    box: str
+    sent: int  # since the first attempt that may have run; 0 where this is it
+
+
+class Noted(msgspec.Struct, frozen=True, array_like=True, tag="noted"):
+    """The answer to an Intent: it is down."""
+
+    id: bytes
+    epoch: int
+    attempt: int
+
+
+class Unkept(msgspec.Struct, frozen=True, array_like=True, tag="unkept"):
+    """The answer to a Put or an Intent: there is no room for it here, and it is not kept."""
+
+    id: bytes
+    epoch: int
+
+
+class Taken(msgspec.Struct, frozen=True, array_like=True, tag="taken"):
+    """The answer to what is said of work that has another owner now."""
+
+    id: bytes
+    epoch: int  # of that owner
+
+
+class Done(msgspec.Struct, frozen=True, array_like=True, tag="done"):
+    """It has its final answer."""
+
+    id: bytes
+    epoch: int
+    answer: Answer
+
+
+class Want(msgspec.Struct, frozen=True, array_like=True, tag="want"):
+    """A client has come back for this. Said again until there is a Result; `token` tells them apart."""
+
+    token: int
+    id: bytes
+    customer: int
+
+
+class Result(msgspec.Struct, frozen=True, array_like=True, tag="result"):
+    """The answer to a Want, which may take as long as the work."""
+
+    token: int
+    answer: Answer
+
+
+Message = Put | Intent | Noted | Unkept | Taken | Done | Want | Result
+KINDS = (Put, Intent, Noted, Unkept, Taken, Done, Want, Result)
--- /dev/null
+++ b/lynxreel/takeover/work.py
@@ -0,0 +1,634 @@
+"""Who goes on with a request when its owner is lost. No I/O: events in, actions out, clock handed in.
+
+An instance is three things at once: the OWNER of the requests that its clients asked (or that it took over),
+the KEEPER of copies of others' requests, and the one that is ASKED by clients that come back.
+
+A request has one owner at a time, under an epoch that grows with each takeover, and its copy one keeper. The
+keeper alone decides who follows a lost owner: itself, when a client comes back. So nobody votes. What it may
+do then follows from what it was told last:
+
+    accepted    never sent on: goes on with what is left of its time
+    sent        repeatable: runs again; by key: again, while boxes drop repeats; once: unknown for good
+    answered    the same answer again
+
+Guards effects against running twice: for `once` an attempt is made only when its intent is noted by the
+keeper, or nobody else has a copy. Where a keeper dies, the owner puts its work at another one.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import TypeAlias
+
+from lynxreel.links.peers import Dead, Lost, Peers, State, Up
+from lynxreel.links.rank import Ranks
+from lynxreel.takeover.messages import (
+    NONE, REFUSED, UNKNOWN, Answer, Done, How, Intent, Message, Noted, Put, Record, Result, Taken, Unkept,
+    Want,
+)  # fmt: skip
+from mothgap.interface import Effect
+
+ROUNDS = 2  # times that all are asked before nobody is held to have it: news of it may be on its way
+PAUSE = 20_000  # microseconds between them
+REPEAT = 100_000  # microseconds after which a Want is said again
+MARGIN = 250_000  # microseconds by which a repeat under a key must be ahead of the boxes' forgetting
+Waiter: TypeAlias = "int | tuple[str, int]"  # a client here by its token, or an instance and its token
+
+
+@dataclass(frozen=True, slots=True)
+class Class:
+    """What is to be known of a class of requests."""
+
+    effect: Effect
+    key_memory: int = 0  # microseconds for which boxes drop repeats under a key
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What an instance goes by. Times are microseconds."""
+
+    name: str
+    classes: Mapping[str, Class]
+    entries: int = 20_000  # copies kept
+    size: int = 32 << 20  # bytes of them
+    wait: int = 20_000  # for which an attempt waits for its intent to be noted
+    keep: int = 15_000_000  # for which answers are kept after a request's time
+    sure: bool = True  # `once` waits for its intent; else a copy of it counts as sent from the start
+
+
+# --- actions --------------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Say:
+    """Tell another instance."""
+
+    to: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class Go:
+    """The attempt may be made."""
+
+    id: bytes
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Stay:
+    """The attempt must not be made: it has never run."""
+
+    id: bytes
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Carry:
+    """This instance is the owner now: go on with the request through the decision module."""
+
+    record: Record
+    left: int
+    counted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Give:
+    """A client that waits here gets its answer."""
+
+    token: int
+    answer: Answer
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """Nobody wants it any more, and nothing of it has run."""
+
+    id: bytes
+
+
+Action: TypeAlias = Say | Go | Stay | Carry | Give | Leave
+
+
+# --- state ----------------------------------------------------------------------------------------------
+
+
+@dataclass(slots=True)
+class Own:
+    """A request of which this instance is the owner."""
+
+    record: Record
+    epoch: int
+    until: int
+    counted: bool
+    waiters: list[Waiter]
+    keeper: str | None = None
+    at: int = 0  # the keeper's incarnation
+    why: str = ""  # why it has no keeper
+    full: set[str] = field(default_factory=set)  # keepers that had no room
+    ran: dict[int, int] = field(default_factory=dict)  # attempts that may have run, and since when
+    earlier: int | None = None  # since when one of an owner before this one may have run
+    holding: dict[int, str] = field(default_factory=dict)  # attempts that wait for their intent; their boxes
+    answer: Answer | None = None
+    taken: int = 0  # the epoch of another owner, which was found out
+
+
+@dataclass(slots=True)
+class Kept:
+    """A copy of another owner's request."""
+
+    record: Record
+    epoch: int
+    owner: str
+    at: int  # the owner's incarnation
+    until: int
+    counted: bool
+    sent: int | None  # since when an attempt may have run
+    answer: Answer | None
+    size: int
+    waiters: list[Waiter] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Asked:
+    """A client that has come back for what is not held here."""
+
+    id: bytes
+    customer: int
+    effect: Effect
+    waiting: dict[str, bool]  # who is asked, and whether its word is awaited
+    round: int = 0
+    again: int = 0  # when to ask again
+
+
+class Work:
+    """One instance's part in all of it."""
+
+    def __init__(self, terms: Terms, peers: Peers, ranks: Ranks) -> None:
+        """`peers` is brought up to date by whoever has it, before its news come here."""
+        self._terms, self._peers, self._ranks = terms, peers, ranks
+        self.own: dict[bytes, Own] = {}
+        self.kept: dict[bytes, Kept] = {}
+        self.asked: dict[int, Asked] = {}
+        self.size = 0  # bytes of copies
+        self.counts = dict.fromkeys(
+            ("covered", "uncovered", "taken_over", "told_again", "told_unknown", "stayed", "fenced"), 0
+        )
+        self._ends: list[tuple[int, bytes]] = []  # when an entry is looked at for its end
+        self._holds: dict[tuple[bytes, int], int] = {}  # attempts that wait, and until when, in order
+        self._here: dict[int, bytes] = {}  # clients that wait here, by token, and for what
+        self._out: list[Action] = []
+
+    # --- the owner --------------------------------------------------------------------------------------
+
+    def accepted(self, now: int, record: Record, left: int, counted: bool, token: int) -> list[Action]:
+        """A client's request has been taken, and its add, if there is one, written."""
+        self._out = []
+        own = self.own[record.id] = Own(record, 1, now + left, counted, [token])
+        self._here[token] = record.id
+        self._end_at(own.until + self._terms.keep, record.id)
+        self._cover(now, own)
+        return self._out
+
+    def intends(self, now: int, number: bytes, attempt: int, box: str) -> list[Action]:
+        """An attempt is about to be made; Go or Stay follows, now or later."""
+        self._out = []
+        own = self.own.get(number)
+        if own is None:
+            return [Go(number, attempt)]  # it was never put anywhere
+        if own.taken:
+            self.counts["fenced"] += 1
+            return [Stay(number, attempt)]
+        since = self._since(own)
+        own.ran[attempt] = now
+        if own.keeper is None:
+            return [Go(number, attempt)]
+        effect = self._class(own.record).effect
+        if effect is Effect.ONCE and self._terms.sure:
+            own.holding[attempt] = box
+            self._holds[(number, attempt)] = now + self._terms.wait
+        else:
+            self._out.append(Go(number, attempt))
+        self._intent(now, own, attempt, box, since)
+        return self._out
+
+    def missed(self, number: bytes, attempt: int) -> None:
+        """An attempt has ended, and has never run."""
+        own = self.own.get(number)
+        if own is not None:
+            own.ran.pop(attempt, None)
+            self._freed(own, attempt)
+
+    def finished(self, now: int, number: bytes, answer: Answer) -> list[Action]:
+        """It has its final answer; whoever waits gets it."""
+        self._out = []
+        own = self.own.get(number)
+        if own is None or own.answer is not None:
+            return []
+        if own.taken:  # what is right is what the other owner says
+            return []
+        harmless = self._class(own.record).effect is Effect.REPEATABLE or not self._ran(own)
+        if answer.how is How.REFUSED and not harmless:
+            answer = Answer(How.FAILED)  # an owner before this one may have run it
+        own.answer = answer
+        for attempt in list(own.holding):
+            self._freed(own, attempt)
+        if own.keeper is not None:
+            self._out.append(Say(own.keeper, Done(number, own.epoch, answer)))
+        self._give_all(own, answer)
+        return self._out
+
+    def left(self, now: int, token: int) -> list[Action]:
+        """A client that waits here has gone."""
+        self._out = []
+        number = self._here.pop(token, None)
+        if self.asked.pop(token, None) is not None or number is None:
+            return []
+        for entry in (self.own.get(number), self.kept.get(number)):
+            if entry is None or token not in entry.waiters:
+                continue
+            entry.waiters.remove(token)
+            if isinstance(entry, Own) and not entry.waiters and not self._ran(entry):
+                self._out.append(Leave(number))
+                leave = self._out
+                self._out = [*leave, *self.finished(now, number, REFUSED)]
+        return self._out
+
+    def overdue(self, token: int, effect: Effect) -> list[Action]:
+        """A client that came back has waited for as long as it may."""
+        self._out = []
+        number = self._here.pop(token, None)
+        known = self.asked.pop(token, None) is not None
+        for entry in (self.own.get(number), self.kept.get(number)) if number is not None else ():
+            if entry is not None and token in entry.waiters:
+                entry.waiters.remove(token)
+                known = True
+        if known:
+            self._end_unknown(token, effect)
+        return self._out
+
+    def _end_unknown(self, token: int, effect: Effect) -> None:
+        """Nothing is run for it here, and nobody tells: what does no harm may be asked anew."""
+        unknown = effect is Effect.ONCE
+        self.counts["told_unknown"] += unknown
+        self._here.pop(token, None)
+        self._out.append(Give(token, UNKNOWN if unknown else REFUSED))
+
+    def _freed(self, own: Own, attempt: int) -> bool:
+        """An attempt waits no more; false where it did not."""
+        self._holds.pop((own.record.id, attempt), None)
+        return own.holding.pop(attempt, None) is not None
+
+    def _class(self, record: Record) -> Class:
+        return self._terms.classes.get(record.cls, Class(Effect.ONCE))  # an unknown one: with all care
+
+    @staticmethod
+    def _since(own: Own) -> int | None:
+        """Since when an attempt may have run."""
+        times = [*own.ran.values(), *([own.earlier] if own.earlier is not None else [])]
+        return min(times) if times else None
+
+    def _ran(self, own: Own) -> bool:
+        return self._since(own) is not None
+
+    def _intent(self, now: int, own: Own, attempt: int, box: str, since: int | None) -> None:
+        assert own.keeper is not None
+        span = 0 if since is None else now - since
+        self._out.append(Say(own.keeper, Intent(own.record.id, own.epoch, attempt, box, span)))
+
+    def _cover(self, now: int, own: Own) -> None:
+        """Put it at the keeper that it belongs to, if one is up."""
+        up = [name for name in self._peers.up() if name not in own.full]
+        own.keeper = self._ranks.keeper(own.record.id, self._terms.name, up)
+        if own.keeper is None:
+            own.why = "full" if own.full else "nobody is up"
+            self.counts["uncovered"] += 1
+            self._release(own)
+            return
+        own.at = self._peers.peers[own.keeper].incarnation
+        self.counts["covered"] += 1
+        self._put(now, own)
+
+    def _put(self, now: int, own: Own) -> None:
+        """Say all of it, with the attempts that wait for its keeper."""
+        assert own.keeper is not None
+        once = self._class(own.record).effect is Effect.ONCE
+        since = self._since(own)
+        sent = -1 if since is None else now - since
+        if once and not self._terms.sure:
+            sent = max(sent, 0)
+        put = Put(own.record, own.epoch, max(0, own.until - now), own.counted, sent, own.answer)
+        self._out.append(Say(own.keeper, put))
+        for attempt, box in own.holding.items():
+            self._intent(now, own, attempt, box, since)
+
+    def _release(self, own: Own) -> None:
+        """Nobody has a copy any more, so nobody else can go on with it: what waited may go."""
+        for attempt in list(own.holding):
+            self._freed(own, attempt)
+            self._out.append(Go(own.record.id, attempt))
+
+    # --- clients that come back -------------------------------------------------------------------------
+
+    def back(self, now: int, token: int, number: bytes, customer: int, effect: Effect) -> list[Action]:
+        """A client has come back here for this; a Give follows, now or later."""
+        self._out = []
+        self._come(now, token, number, customer, effect)
+        return self._out
+
+    def _come(self, now: int, token: int, number: bytes, customer: int, effect: Effect) -> None:
+        if not self._claim(now, token, number, customer):
+            likely = [name for name in self._ranks.likely(number) if name != self._terms.name]
+            asked = self.asked[token] = Asked(number, customer, effect, dict.fromkeys(likely, True))
+            self._here[token] = number
+            self._ask(now, token, asked)
+
+    def _ask(self, now: int, token: int, asked: Asked) -> None:
+        """Ask all whose word is awaited, and see whether any is."""
+        asked.again = now + REPEAT
+        for name in asked.waiting:
+            if self._peers.peers[name].state is State.DEAD:
+                asked.waiting[name] = False
+            elif asked.waiting[name]:
+                self._out.append(Say(name, Want(token, asked.id, asked.customer)))
+        self._none(now, token, asked)
+
+    def _none(self, now: int, token: int, asked: Asked) -> None:
+        """What follows once all that were asked have said that they don't have it."""
+        if any(asked.waiting.values()):
+            return
+        if asked.round < ROUNDS:
+            asked.round += 1
+            if asked.round == 1:  # the likely ones don't have it
+                asked.waiting = dict.fromkeys(self._peers.peers, True)
+                self._ask(now, token, asked)
+            else:
+                asked.again = now + PAUSE
+            return
+        del self.asked[token]
+        self._end_unknown(token, asked.effect)
+
+    def _claim(self, now: int, waiter: Waiter, number: bytes, customer: int) -> bool:
+        """Have this waiter get the answer, if the request is held here."""
+        own = self.own.get(number)
+        entry = self.kept.get(number) if own is None or own.taken else own
+        if entry is None or entry.record.customer != customer:
+            return False
+        if entry.answer is not None:
+            self.counts["told_again"] += 1
+            self._give(waiter, entry.answer)
+            return True
+        if waiter not in entry.waiters:
+            entry.waiters.append(waiter)
+            if isinstance(waiter, int):
+                self._here[waiter] = number
+        if isinstance(entry, Kept) and self._peers.is_dead(entry.owner, entry.at):
+            self._take(now, entry)
+        return True
+
+    def _give_all(self, entry: Own | Kept, answer: Answer) -> None:
+        waiters, entry.waiters = entry.waiters, []
+        for waiter in waiters:
+            self._give(waiter, answer)
+
+    def _give(self, waiter: Waiter, answer: Answer) -> None:
+        if isinstance(waiter, int):
+            self._here.pop(waiter, None)
+            self._out.append(Give(waiter, answer))
+        else:
+            self._out.append(Say(waiter[0], Result(waiter[1], answer)))
+
+    def _take(self, now: int, kept: Kept) -> None:
+        """The owner is lost, and somebody waits: this instance is the owner from now on."""
+        self._forget(kept)
+        record = kept.record
+        own = Own(record, kept.epoch + 1, kept.until, kept.counted, kept.waiters, earlier=kept.sent)
+        self.own[record.id] = own
+        self.counts["taken_over"] += 1
+        own.answer = kept.answer
+        if own.answer is None and (final := self._final(now, own)) is not None:
+            own.answer = final
+            self.counts["told_unknown"] += final is UNKNOWN
+            self._give_all(own, final)
+        self._cover(now, own)
+        if own.answer is None:
+            self._out.append(Carry(record, own.until - now, own.counted))
+
+    def _final(self, now: int, own: Own) -> Answer | None:
+        """The answer to one that must not be run any more; None where it may."""
+        cls, since = self._class(own.record), self._since(own)
+        if since is not None:
+            if cls.effect is Effect.ONCE:
+                return UNKNOWN
+            if cls.effect is Effect.KEYED and now - since + MARGIN >= cls.key_memory:
+                return UNKNOWN
+        if own.until <= now:
+            return REFUSED if since is None or cls.effect is Effect.REPEATABLE else Answer(How.FAILED)
+        return None
+
+    # --- what others say --------------------------------------------------------------------------------
+
+    def heard(self, now: int, sender: str, at: int, message: Message) -> list[Action]:
+        """A message of an instance, which said it as this incarnation."""
+        self._out = []
+        match message:
+            case Put():
+                self._on_put(now, sender, at, message)
+            case Intent():
+                self._on_intent(now, sender, at, message)
+            case Done():
+                self._on_done(now, sender, at, message)
+            case Noted():
+                own = self._owned(sender, message.id, message.epoch)
+                if own is not None and self._freed(own, message.attempt):
+                    self._out.append(Go(message.id, message.attempt))
+            case Unkept():
+                if (own := self._owned(sender, message.id, message.epoch)) is not None:
+                    own.full.add(sender)
+                    self._cover(now, own)
+            case Taken():
+                self._on_taken(now, message)
+            case Want():
+                if not self._claim(now, (sender, message.token), message.id, message.customer):
+                    self._out.append(Say(sender, Result(message.token, NONE)))
+            case Result():
+                self._on_result(now, sender, message)
+        return self._out
+
+    def _owned(self, keeper: str, number: bytes, epoch: int) -> Own | None:
+        own = self.own.get(number)
+        return own if own is not None and own.keeper == keeper and own.epoch == epoch else None
+
+    def _known(self, now: int, sender: str, at: int, number: bytes, epoch: int) -> tuple[bool, Kept | None]:
+        """The copy that is spoken of. False: another owner has it by now, and its sender has been told."""
+        own, kept = self.own.get(number), self.kept.get(number)
+        if own is not None and own.epoch < epoch:
+            self._overtaken(now, own, epoch)  # whoever followed this instance has chosen it for keeper
+            own = None
+        later = max(own.epoch if own is not None else 0, kept.epoch if kept is not None else 0)
+        if own is not None or later > epoch:
+            self._out.append(Say(sender, Taken(number, later)))
+            return False, None
+        if kept is None or kept.epoch != epoch or (kept.owner, kept.at) != (sender, at):
+            return True, None
+        return True, kept
+
+    def _on_put(self, now: int, sender: str, at: int, put: Put) -> None:
+        number = put.record.id
+        current, kept = self._known(now, sender, at, number, put.epoch)
+        if not current:
+            return
+        sent = None if put.sent < 0 else now - put.sent
+        if kept is None:
+            before = self.kept.get(number)
+            if before is not None:
+                self._forget(before)
+            size = put.record.size
+            if len(self.kept) >= self._terms.entries or self.size + size > self._terms.size:
+                self._out.append(Say(sender, Unkept(number, put.epoch)))
+                return
+            kept = Kept(put.record, put.epoch, sender, at, now + put.left, put.counted, sent, None, size)
+            kept.waiters = before.waiters if before is not None else []
+            self.kept[number] = kept
+            self.size += size
+            self._end_at(kept.until + self._terms.keep, number)
+        kept.counted |= put.counted
+        if sent is not None:
+            kept.sent = sent if kept.sent is None else min(sent, kept.sent)
+        if put.answer is not None:
+            self._answered(kept, put.answer)
+
+    def _on_intent(self, now: int, sender: str, at: int, intent: Intent) -> None:
+        current, kept = self._known(now, sender, at, intent.id, intent.epoch)
+        if not current:
+            return
+        if kept is None:
+            self._out.append(Say(sender, Unkept(intent.id, intent.epoch)))
+            return
+        since = now - intent.sent
+        kept.sent = since if kept.sent is None else min(since, kept.sent)
+        if self._class(kept.record).effect is Effect.ONCE:
+            self._out.append(Say(sender, Noted(intent.id, intent.epoch, intent.attempt)))
+
+    def _on_done(self, now: int, sender: str, at: int, done: Done) -> None:
+        _, kept = self._known(now, sender, at, done.id, done.epoch)
+        if kept is not None:
+            self._answered(kept, done.answer)
+
+    def _answered(self, kept: Kept, answer: Answer) -> None:
+        if kept.answer is None:
+            kept.answer = answer
+            kept.size += len(answer.value)
+            self.size += len(answer.value)
+        self._give_all(kept, kept.answer)
+
+    def _on_taken(self, now: int, taken: Taken) -> None:
+        own = self.own.get(taken.id)
+        if own is not None and own.epoch < taken.epoch and not own.taken:
+            self._overtaken(now, own, taken.epoch)
+
+    def _overtaken(self, now: int, own: Own, epoch: int) -> None:
+        """Another owner has it: whoever waits here comes back for it, like any client."""
+        if own.taken:
+            own.taken = max(own.taken, epoch)
+            return
+        own.taken = epoch
+        self.counts["fenced"] += 1
+        number, effect = own.record.id, self._class(own.record).effect
+        for attempt in list(own.holding):
+            self._freed(own, attempt)
+            self._out.append(Stay(number, attempt))
+        waiters, own.waiters = own.waiters, []
+        for waiter in waiters:
+            if isinstance(waiter, int):
+                self._come(now, waiter, number, own.record.customer, effect)
+            else:
+                self._out.append(Say(waiter[0], Result(waiter[1], NONE)))
+
+    def _on_result(self, now: int, sender: str, result: Result) -> None:
+        asked = self.asked.get(result.token)
+        if asked is None:
+            return
+        if result.answer.how is not How.NONE:
+            del self.asked[result.token]
+            self._give(result.token, result.answer)
+        elif asked.waiting.get(sender):
+            asked.waiting[sender] = False
+            self._none(now, result.token, asked)
+
+    # --- who is there -----------------------------------------------------------------------------------
+
+    def news(self, now: int, news: Up | Lost | Dead) -> list[Action]:
+        """An instance is up, lost or dead; `peers` knows it already."""
+        self._out = []
+        if isinstance(news, Lost):
+            return []
+        for own in [own for own in self.own.values() if own.keeper == news.name and not own.taken]:
+            if own.at <= self._peers.peers[news.name].dead:
+                self._cover(now, own)
+            elif isinstance(news, Up):
+                self._put(now, own)  # what was on its way when the link ended may not have come
+        if isinstance(news, Dead):
+            self._died(now, news)
+        else:
+            for own in [own for own in self.own.values() if own.keeper is None and own.answer is None]:
+                if not own.taken:
+                    self._cover(now, own)
+        for token, asked in list(self.asked.items()):
+            if news.name in asked.waiting:
+                self._ask(now, token, asked)
+        return self._out
+
+    def _died(self, now: int, dead: Dead) -> None:
+        """Go on with what somebody waits for; instances that are dead wait for nothing."""
+        entries: list[Own | Kept] = [*self.own.values(), *self.kept.values()]
+        for entry in entries:
+            if any(isinstance(waiter, tuple) and waiter[0] == dead.name for waiter in entry.waiters):
+                entry.waiters = [w for w in entry.waiters if isinstance(w, int) or w[0] != dead.name]
+        for kept in list(self.kept.values()):
+            if kept.waiters and kept.owner == dead.name and kept.at <= dead.incarnation:
+                self._take(now, kept)
+
+    # --- time -------------------------------------------------------------------------------------------
+
+    def due(self) -> int | None:
+        """When `tick` is wanted; None where nothing is waited for."""
+        times = [next(iter(self._holds.values()))] if self._holds else []
+        times += [asked.again for asked in self.asked.values()]
+        times += [self._ends[0][0]] if self._ends else []
+        return min(times) if times else None
+
+    def tick(self, now: int) -> list[Action]:
+        """Time has passed."""
+        self._out = []
+        while self._holds and next(iter(self._holds.values())) <= now:
+            number, attempt = next(iter(self._holds))
+            self._freed(self.own[number], attempt)
+            self.counts["stayed"] += 1
+            self._out.append(Stay(number, attempt))
+        for token, asked in list(self.asked.items()):
+            if asked.again <= now:
+                if not any(asked.waiting.values()):
+                    asked.waiting = dict.fromkeys(asked.waiting, True)
+                self._ask(now, token, asked)
+        while self._ends and self._ends[0][0] <= now:
+            _, number = heapq.heappop(self._ends)
+            self._let_go(now, number)
+        return self._out
+
+    def _end_at(self, when: int, number: bytes) -> None:
+        heapq.heappush(self._ends, (when, number))
+
+    def _let_go(self, now: int, number: bytes) -> None:
+        """The time of an entry is over, unless the same id has a later one."""
+        own, kept = self.own.get(number), self.kept.get(number)
+        if own is not None and own.until + self._terms.keep <= now:
+            del self.own[number]
+        if kept is not None and kept.until + self._terms.keep <= now:
+            self._forget(kept)
+
+    def _forget(self, kept: Kept) -> None:
+        del self.kept[kept.record.id]
+        self.size -= kept.size
--- a/mothgap/interface.py
+++ b/mothgap/interface.py
@@ -182,6 +182,7 @@
     entry_points: int = 1  # gateways that this customer's requests can come through
     first_entry: int = 0  # the first of them; the rest follow in order
     retry: bool = False  # marked by the client as a repeat
+    counted: bool = False  # its units are on the counter: a lost gateway's, which this one goes on with
 
 
 @dataclass(frozen=True, slots=True)
--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -328,6 +328,7 @@
         customer = self._customer(request.customer, plan, request.entry_points)
         job = self._jobs[request.id] = _Job(request, cls, customer, self._now)
         job.aim_at -= self._spent(request, cls)
+        job.added = request.units if request.counted else 0.0  # given back where it is not sent on
         customer.here_at = self._now
         self._retries = min(RETRY_SAVED, self._retries + RETRY_SHARE)
         doubt = (customer.over + self._over[request.plan]) / (customer.looks + 1.0)
@@ -340,6 +341,9 @@
             self._end(job, Cause.CEILING)
         elif not self._room(self._rank(job, plan, hot)):
             self._end(job, Cause.ROOM)
+        elif request.counted:
+            self._borrow(job, plan)
+            self._pass(job, plan)
         elif plan.rate > 0 and self._s.counter is not None and self._no_room(job, plan):
             # Known to have no room: its add would only be taken back, and repeats would swamp the counter.
             self._end(job, Cause.QUOTA)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -143,7 +143,7 @@
 def test_a_start_waits_a_moment_for_the_counter_and_not_for_one_that_is_away(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """With a counter that is there a start ends though the moment never would; with none it ends by itself."""
+    """With a counter a start ends though the moment never would; with none it ends by itself."""
 
     async def scenario() -> None:
         loop = asyncio.get_running_loop()
