A stopped or cut-off gateway does nothing with what another has taken over

Need: an owner that is stopped, or hears nothing of its keeper, and one that goes on in its place must not both act. Change: attempts go on only while the right holds, also where one has waited for a connection; links can pass through wires that fail (Deployment wires=True, standins/wire.py), and a wire never refuses in the name of a living process: it did at first, which made a living instance dead for good; that is now told in the log. The work in hand can be asked for (query work).

--- a/lynxreel/backends/pools.py
+++ b/lynxreel/backends/pools.py
@@ -5,7 +5,7 @@
 import asyncio
 import errno
 import select
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol, cast
 
@@ -302,6 +302,7 @@
         self._engine = engine
         self.ages = Ages()
         self.open = 0  # connections, in all pools
+        self.may: Callable[[Attempt], bool] | None = None  # asked before one is written that has waited
         self.adopt(settings, idle, most)
         self._pools: dict[str, Pool] = {}
         self._out: dict[Attempt, tuple[asyncio.TimerHandle, Connection | None]] = {}
@@ -381,9 +382,13 @@
             # It did not come up, or only when the drain's grace was over: nothing may be written now.
             connection.drop()
             self.end(attempt, result)
+            return
+        pool.all.add(connection)
+        self.open += 1
+        if self.may is not None and not self.may(attempt):
+            pool.give(connection)
+            self.end(attempt, Result.NOT_SENT)
         else:
-            pool.all.add(connection)
-            self.open += 1
             self._write(attempt, connection, deadline - now)
 
     def _write(self, attempt: Attempt, connection: Connection, wait: int) -> None:
--- a/lynxreel/daemon/serve.py
+++ b/lynxreel/daemon/serve.py
@@ -123,6 +123,8 @@
             path.unlink(missing_ok=True)  # of one that died: the lock is ours
             answers: Commands = {"customer": self._customer, "boxes": self._boxes, "approve": self._approve}
             answers |= {"call": lambda asked: self.call(str(asked["line"]).encode()).decode().strip()}
+            if (cover := self.node.cover) is not None:
+                answers["work"] = lambda asked: cover.listed()
             self._queries, _ = await listen(answers, str(path))
         except OSError as wrong:
             log(f"queries can't be answered, serving goes on: {path}: {wrong}")
@@ -308,6 +310,8 @@
         }
         if (guard := self.node.guard) is not None:
             told["counter"] = guard.told()
+        if self.node.cover is not None:
+            told["takeover"] = self.node.cover.told()
         if self._file.boxes.etcd is not None:
             told["settings"] = {"revision": self._settings_revision, "problems": self._settings_problems}
         try:
--- a/lynxreel/links/mesh.py
+++ b/lynxreel/links/mesh.py
@@ -145,6 +145,9 @@
         if not self._right(hello) or hello.name != link.name:
             return False
         known, news = self.peers.linked(hello.name, hello.incarnation)
+        if self.peers.is_dead(hello.name, hello.incarnation):
+            why = "does something refuse connects in its name? It counts again once it is restarted"
+            log(f"{hello.name} lives, and was held to be dead: {why}")
         if known:
             self._speaking[link.name] = link
         self.news(news)
--- a/lynxreel/local/by_etcd.py
+++ b/lynxreel/local/by_etcd.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from lynxreel.etcd import rpc_pb2 as pb
+from lynxreel.etcd.client import after
 from lynxreel.local.deployment import Deployment
 from lynxreel.membership.core import Box
 from lynxreel.membership.document import write_box
@@ -53,6 +54,11 @@
         """Put boxes in one transaction; its revision."""
         return self.do(*[self.put_op(box) for box in boxes])
 
+    def under(self, key: str) -> list[pb.KeyValue]:
+        """What there is below a part of the prefix."""
+        name = f"{PREFIX}{key}".encode()
+        return list(self.etcd.store.range(pb.RangeRequest(key=name, range_end=after(name))).kvs)
+
     def raw(self, key: str, value: bytes) -> int:
         """Put any value under the prefix; its revision."""
         self.etcd.store.put(pb.PutRequest(key=f"{PREFIX}{key}".encode(), value=value))
--- a/lynxreel/local/deployment.py
+++ b/lynxreel/local/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import os
 import signal
 import socket
@@ -22,6 +23,7 @@
 from lynxreel.standins.faults import Faults
 from lynxreel.standins.ledger import Ledger
 from lynxreel.standins.registry import Registry, entry
+from lynxreel.standins.wire import Wire
 
 # Gateways have a loopback address of their process's own: on 127.0.0.1 any connection that is made between
 # the drawing of a port and its use may take that port for itself.
@@ -53,9 +55,10 @@
         self, folder: Path, gateways: int, rate: float, seed: int, boxes: int = 0,
         edit: Callable[[str], str] = str, env: Mapping[str, str] | None = None, http: bool = False,
         link: Callable[[Listener, Box], BoxLink] = Resp2Link, workers: int = 0, takeover: bool = False,
-        zones: int = 1,
+        zones: int = 1, wires: bool = False,
     ) -> None:  # fmt: skip
-        """`takeover`: work in hand is kept at others, and clients come back for it; `zones` of instances.
+        """`takeover`: work in hand is kept at others, and clients come back for it; `zones` of instances;
+        `wires`: what each says to each other passes through a stand-in that can fail.
         `edit` has the last word on operator files; `env` is added to the gateways' environment; `http`:
         each gateway has an HTTP front, too; `link`: what boxes speak; `workers`: of each gateway."""
         self._edit, self._env = edit, {**os.environ, "PYTHONUNBUFFERED": "1", **(env or {})}
@@ -72,11 +75,15 @@
         self.gateways: list[Gateway] = []
         self._http, self._link, self._workers = http, link, workers
         self._takeover, self._zones = takeover, zones
+        self.wire_faults = Faults(seed + 3)
+        self._wired = wires
+        self.wires: dict[tuple[int, int], Wire] = {}  # by speaker and hearer
         self.links: list[tuple[str, int]] = []  # where instances hear each other, by gateway
         self.http_at: dict[int, tuple[str, int]] = {}  # by gateway
         self.counter_at: dict[int, tuple[str, int]] = {}  # gateways that call another counter
         self.front: Front
         self._logs: list[IO[bytes]] = []
+        self._endings: set[asyncio.Future[None]] = set()
 
     async def start(self) -> None:
         """Start all, and wait until the front has taken in every gateway."""
@@ -95,6 +102,11 @@
             holder.close()
         if self._takeover:
             addresses, self.links = addresses[: -self.count], addresses[-self.count :]
+        if self._wired:
+            for pair in itertools.permutations(range(self.count), 2):
+                wire = Wire(f"g{pair[0]}", f"g{pair[1]}", self.links[pair[1]], self.wire_faults, clock)
+                await wire.listener.open(HOST)
+                self.wires[pair] = wire
         if self._http:
             web.write(self.folder, self._link is not Resp2Link)
             self.http_at = dict(enumerate(addresses[self.count :]))
@@ -125,7 +137,12 @@
         if number in self.http_at:
             text += web.table(self.folder, self.http_at[number])
         if self.links:
-            text += files.takeover_tables(number, self.links, self._zones)
+            wires = self.wires
+            seen = [
+                wires[number, n].listener.address if (number, n) in wires else place
+                for n, place in enumerate(self.links)
+            ]
+            text += files.takeover_tables(number, self.links, self._zones, seen)
         path.write_text(self._edit(text) + more)
         return path
 
@@ -138,8 +155,20 @@
             sys.executable, *words, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
             env=self._env,
         )  # fmt: skip
+        self._endings.add(asyncio.ensure_future(self._mark_end(number, process)))
         return Gateway(number, Gate(f"g{number}", address), path, Place(self.folder / f"g{number}"), process)
 
+    async def _mark_end(self, number: int, process: asyncio.subprocess.Process) -> None:
+        """Wires to an instance refuse connects from its end on, as its machine does."""
+        for wire in self._to(number):
+            wire.ended(False)
+        await process.wait()
+        for wire in self._to(number):
+            wire.ended(True)
+
+    def _to(self, number: int) -> list[Wire]:
+        return [wire for pair, wire in self.wires.items() if pair[1] == number]
+
     async def add(self, more: str) -> Gateway:
         """Start one more instance, with `more` at the end of its file. Clients do not know of it."""
         number = len(self.gateways)
@@ -204,5 +233,9 @@
         listeners = [self.counter.listener, self.registry.listener]
         for listener in [*listeners, *(box.listener for box in self.boxes)]:
             listener.close()
+        for ending in self._endings:
+            ending.cancel()
+        for wire in self.wires.values():
+            wire.close()
         for log in self._logs:
             log.close()
--- a/lynxreel/local/files.py
+++ b/lynxreel/local/files.py
@@ -16,11 +16,16 @@
     return max(4, -int(-rate * work // (CORES * LOAD)))
 
 
-def takeover_tables(number: int, links: Sequence[Address], zones: int) -> str:
-    """The tables of an instance whose work in hand is kept by the others, at these addresses."""
+def takeover_tables(
+    number: int, links: Sequence[Address], zones: int, seen: Sequence[Address] | None = None
+) -> str:
+    """The tables of an instance whose work in hand is kept by the others.
+
+    `links`: where each listens; `seen`: where this one speaks to each, if that differs.
+    """
     peers = "".join(
         f'\n[[links.peers]]\nname = "g{n}"\naddress = "{host}:{port}"\nzone = "z{n % zones}"\n'
-        for n, (host, port) in enumerate(links)
+        for n, (host, port) in enumerate(seen or links)
     )
     host, port = links[number]
     return f'\n[links]\nlisten = "{host}:{port}"\nzone = "z{number % zones}"\n{peers}\n[takeover]\n'
--- a/lynxreel/takeover/cover.py
+++ b/lynxreel/takeover/cover.py
@@ -57,6 +57,7 @@
         """`adopt` follows before anything else."""
         self._plan, self._engine, self._servers, self._loop = plan, engine, servers, loop
         engine.backend, engine.watch = self, self
+        servers.may = self._may
         others = [place for place in plan.others if place.name != plan.own.name]
         incarnation = next_incarnation(Path(plan.folder))
         self.mesh = Mesh(plan.own, incarnation, others, KINDS, self._heard, self._news, loop)
@@ -111,6 +112,15 @@
             self._store.close()
         self.mesh.close()
 
+    def told(self) -> dict[str, object]:
+        """What is in hand, for the operators."""
+        links, incarnation = dict(self.mesh.counts), self.mesh.incarnation
+        return {**self.work.view(self._now()), "links": links, "incarnation": incarnation}
+
+    def listed(self) -> dict[str, object]:
+        """The same with each request that is in hand."""
+        return {**self.told(), "requests": self.work.listed(self._now())}
+
     def _now(self) -> int:
         """Microseconds that run evenly, whatever is done to the clock."""
         return int(self._loop.time() * 1e6)
@@ -207,6 +217,10 @@
         self._held[(call.id, attempt.number)] = (attempt, now + timeout)
         self._act(self.work.intends(now, call.id, attempt.number, attempt.server, timeout))
 
+    def _may(self, attempt: Attempt) -> bool:
+        """Whether an attempt may still be written."""
+        return self.work.may(self._now(), attempt.call.id)
+
     def cancel(self, attempt: Attempt) -> None:
         """Give an attempt up."""
         if self._held.pop((attempt.call.id, attempt.number), None) is not None:
--- a/lynxreel/takeover/rights.py
+++ b/lynxreel/takeover/rights.py
@@ -108,6 +108,10 @@
         held = self._held.get(keeper)
         return held is not None and now < held.until
 
+    def count(self, now: int) -> int:
+        """Keepers whose right holds."""
+        return sum(now < held.until for held in self._held.values())
+
     def session(self, keeper: str) -> int:
         """In which copies are put at this keeper now."""
         held = self._held.get(keeper)
--- a/lynxreel/takeover/work.py
+++ b/lynxreel/takeover/work.py
@@ -19,6 +19,7 @@
 from __future__ import annotations
 
 import heapq
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import TypeAlias
@@ -147,6 +148,7 @@
     ran: dict[int, int] = field(default_factory=dict)  # attempts that may have run, and since when
     earlier: int | None = None  # since when one of an owner before this one may have run
     holding: dict[int, str] = field(default_factory=dict)  # attempts that wait for their intent; their boxes
+    noted: set[int] = field(default_factory=set)  # of these, the ones whose intent its keeper has noted
     waits: dict[int, int] = field(default_factory=dict)  # attempts, and when nobody waits for them any more
     answer: Answer | None = None
     parked: Answer | None = None  # the answer, while this instance may not give it
@@ -233,13 +235,10 @@
         if own.keeper is None:
             return [Go(number, attempt)]
         own.waits[attempt] = now + wait
-        once = self._class(own.record).effect is Effect.ONCE
-        if (once and self._terms.sure) or not self._may(now, own):
-            own.holding[attempt] = box
-            self._holds[(number, attempt)] = now + self._terms.wait
-        else:
-            self._out.append(Go(number, attempt))
+        own.holding[attempt] = box
+        self._holds[(number, attempt)] = now + self._terms.wait
         self._intent(now, own, attempt, box, since)
+        self._release(now, own)
         return self._out
 
     def missed(self, number: bytes, attempt: int) -> None:
@@ -321,6 +320,7 @@
     def _freed(self, own: Own, attempt: int) -> bool:
         """An attempt waits no more; false where it did not."""
         self._holds.pop((own.record.id, attempt), None)
+        own.noted.discard(attempt)
         return own.holding.pop(attempt, None) is not None
 
     def _class(self, record: Record) -> Class:
@@ -349,8 +349,9 @@
         if own.keeper is None:
             own.why = "full" if own.full else "nobody is up"
             self.counts["uncovered"] += 1
-            self._release(own)
+            self._release(now, own)
             return
+        own.noted.clear()
         own.at = self._peers.peers[own.keeper].incarnation
         self.counts["covered"] += 1
         self._put(now, own)
@@ -369,12 +370,20 @@
         for attempt, box in own.holding.items():
             self._intent(now, own, attempt, box, since)
 
-    def _release(self, own: Own) -> None:
-        """Nobody has a copy any more, so nobody else can go on with it: what waited may go."""
-        for attempt in list(own.holding):
+    def _release(self, now: int, own: Own) -> None:
+        """Let go what may be sent on: where nobody has a copy nobody else can go on with it."""
+        if not self._may(now, own):
+            return
+        waits = own.keeper is not None and self._terms.sure and self._class(own.record).effect is Effect.ONCE
+        for attempt in [a for a in own.holding if not waits or a in own.noted]:
             self._freed(own, attempt)
             self._out.append(Go(own.record.id, attempt))
 
+    def may(self, now: int, number: bytes) -> bool:
+        """Whether an attempt may still be written; it may have waited for a connection."""
+        own = self.own.get(number)
+        return own is None or (not own.taken and self._may(now, own))
+
     # --- clients that come back -------------------------------------------------------------------------
 
     def back(self, now: int, token: int, number: bytes, customer: int, effect: Effect) -> list[Action]:
@@ -528,8 +537,9 @@
                     self._regained(now, sender)
             case Noted():
                 own = self._owned(sender, message.id, message.epoch)
-                if own is not None and self._freed(own, message.attempt):
-                    self._out.append(Go(message.id, message.attempt))
+                if own is not None and message.attempt in own.holding:
+                    own.noted.add(message.attempt)
+                    self._release(now, own)
             case Unkept():
                 if (own := self._owned(sender, message.id, message.epoch)) is not None:
                     own.full.add(sender)
@@ -664,10 +674,7 @@
             if own.parked is not None:
                 self._finish(own, own.parked)
                 continue
-            once = self._class(own.record).effect is Effect.ONCE and self._terms.sure
-            for attempt in list(own.holding) if not once else ():
-                self._freed(own, attempt)
-                self._out.append(Go(own.record.id, attempt))
+            self._release(now, own)
         self._cover_bare(now)
 
     def _cover_bare(self, now: int) -> None:
@@ -768,6 +775,41 @@
             if kept is not None and kept.owner == dead.name and kept.at <= dead.incarnation:
                 self._follow(now, kept)
 
+    # --- the operators ----------------------------------------------------------------------------------
+
+    def view(self, now: int) -> dict[str, object]:
+        """How much is in hand, by whom it is covered, what is kept for whom, and what has been done."""
+        open_now = [own for own in self.own.values() if own.answer is None and not own.taken]
+        covered = Counter(own.keeper if own.keeper is not None else f"nobody: {own.why}" for own in open_now)
+        kept = Counter(kept.owner for kept in self.kept.values())
+        peers = {name: peer.state.value for name, peer in self._peers.peers.items()}
+        return {
+            "in_hand": len(open_now), "covered_by": dict(covered), "kept_for": dict(kept),
+            "kept_bytes": self.size, "waiting": len(self._here), "peers": peers,
+            "rights": self._rights.count(now), "counts": dict(self.counts),
+        }  # fmt: skip
+
+    def listed(self, now: int) -> list[dict[str, object]]:
+        """Each request in hand: how far it is, by whom it is covered or why not, and since which takeover."""
+        rows: list[dict[str, object]] = []
+        for own in self.own.values():
+            if own.answer is None and not own.taken:
+                rows.append(
+                    {
+                        "id": own.record.id.decode(), "class": own.record.cls, "plan": own.record.plan,
+                        "stage": self._stage(own), "left_ms": max(0, own.until - now) // 1_000,
+                        "covered_by": own.keeper, "why_not": own.why, "taken_over": own.epoch - 1,
+                    }
+                )  # fmt: skip
+        return rows
+
+    def _stage(self, own: Own) -> str:
+        if own.parked is not None:
+            return "answered, and not this instance's to tell"
+        if own.holding:
+            return "about to be sent"
+        return "sent" if self._ran(own) else "counted" if own.counted else "accepted"
+
     # --- time -------------------------------------------------------------------------------------------
 
     def due(self) -> int | None:
