A keeper knows of a right sooner, and all orders of three instances can be walked

Seen by a dump of both instances: two Beats had been said. Change: six Beats in a lease, the first three without a pause; standins/interleavings.py walks the orders of hearing, losing, dying, stopping, coming back over the core itself.

--- /dev/null
+++ b/lynxreel/standins/interleavings.py
@@ -0,0 +1,378 @@
+"""All orders in which few instances can hear, lose, die, stop and go on: `Work` itself under each of them.
+
+A world is three instances, their peers' views, messages and attempts under way, one box, clients and a
+clock. A step is one thing that may happen next. Worlds are walked depth first and remembered by a digest of
+what they hold; the rules are looked at after each step. What a world may suffer at the most (messages lost or
+doubled, deaths, stops) is its budget.
+
+Left out: sizes and bounds, more than one attempt at a time, clocks that drift (they all run alike).
+"""
+
+from __future__ import annotations
+
+import copyreg
+import dataclasses
+import hashlib
+import io
+import operator
+import pickle
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from lynxreel.links.peers import Dead, Peer, Peers, State
+from lynxreel.links.rank import Ranks
+from lynxreel.takeover.messages import Answer, How, Message, Record
+from lynxreel.takeover.rights import Pair, _Given, _Held
+from lynxreel.takeover.work import (
+    Action, Ask, Asked, Carry, Class, Give, Go, Kept, Leave, Own, Say, Stay, Terms, Work,
+)  # fmt: skip
+from mothgap.interface import Effect
+
+NAMES = ("a", "b", "c")
+CLASSES = {"once": Class(Effect.ONCE), "repeatable": Class(Effect.REPEATABLE)}
+LEASE = 300_000
+WAIT = 100_000
+LEFT = 2_000_000
+RANKS = Ranks(dict.fromkeys(NAMES, ""))
+
+
+@dataclass(slots=True)
+class Budget:
+    """What may still go wrong."""
+
+    lost: int = 0
+    doubled: int = 0
+    deaths: int = 0
+    restarts: int = 0
+    stops: int = 0
+    ticks: int = 0  # times that the clock goes on to the next thing that is due
+
+
+@dataclass(slots=True)
+class Instance:
+    """One process."""
+
+    name: str
+    life: int
+    work: Work
+    peers: Peers
+    alive: bool = True
+    stopped: bool = False
+    engine: dict[bytes, int] = field(default_factory=dict)  # requests that its module has; the next attempt
+
+
+@dataclass(slots=True)
+class World:
+    """All there is."""
+
+    now: int
+    instances: list[Instance]
+    budget: Budget
+    flying: list[tuple[int, int, int, Message]] = field(default_factory=list)  # from, its life, to
+    attempts: list[tuple[bytes, int, int, int]] = field(default_factory=list)  # id, from, life, attempt
+    answers: list[tuple[bytes, int, int]] = field(default_factory=list)  # id, to, life
+    words: dict[Any, bool] = field(default_factory=dict)
+    asking: list[tuple[int, int, Any, bool]] = field(default_factory=list)
+    comes: list[tuple[int, int]] = field(default_factory=list)  # clients that may come back: what, where
+    news: list[tuple[int, Any]] = field(default_factory=list)  # what instances will learn of each other
+    runs: dict[bytes, int] = field(default_factory=dict)
+    told: dict[bytes, list[How]] = field(default_factory=dict)
+    waiting: dict[int, bytes] = field(default_factory=dict)  # clients, by token
+    again: list[str] = field(default_factory=list)  # requests whose units were counted twice
+
+
+def world(budget: Budget, lease: int = 0, requests: tuple[str, ...] = ("once", "repeatable")) -> World:
+    """Three instances that are up. Request n is asked at instance n; its client may come back at others."""
+    instances = [_born(number, 1, lease) for number in range(len(NAMES))]
+    made = World(1_000_000, instances, budget)
+    for number in range(len(NAMES)):
+        _meet(made, number)
+    _calm(made)
+    for number, cls in enumerate(requests):
+        record = Record(b"r%d" % number, 7, cls, "p", 1.0, 1, 0, (b"x",))
+        _act(made, number, instances[number].work.accepted(made.now, record, LEFT, True, 10 + number))
+        instances[number].engine[record.id] = 0
+        made.waiting[10 + number] = record.id
+        made.comes += [(number, other) for other in range(len(NAMES)) if other != number]
+    return made
+
+
+def _born(number: int, life: int, lease: int) -> Instance:
+    peers = Peers(name for name in NAMES if name != NAMES[number])
+    return Instance(NAMES[number], life, Work(_terms(NAMES[number], lease, life), peers, RANKS), peers)
+
+
+def _meet(made: World, number: int) -> None:
+    """An instance links up with the others, both ways."""
+    own = made.instances[number]
+    for other, peer in enumerate(made.instances):
+        if other == number or not peer.alive:
+            continue
+        for here, there, at in ((own, peer, number), (peer, own, other)):
+            known, news = here.peers.linked(there.name, there.life)
+            assert known
+            for item in news:
+                _act(made, at, here.work.news(made.now, item))
+
+
+def _calm(made: World) -> None:
+    """Let what the start has said arrive."""
+    while made.flying:
+        sender, life, to, message = made.flying.pop(0)
+        _act(made, to, made.instances[to].work.heard(made.now, NAMES[sender], life, message))
+
+
+def _act(made: World, number: int, actions: list[Action]) -> None:
+    own = made.instances[number]
+    for action in actions:
+        match action:
+            case Say():
+                if own.peers.peers[action.to].state is State.UP:
+                    made.flying.append((number, own.life, NAMES.index(action.to), action.message))
+            case Go():
+                made.attempts.append((action.id, number, own.life, action.attempt))
+            case Stay():
+                if action.id in own.engine:  # the module gives up
+                    del own.engine[action.id]
+                    own.work.missed(action.id, action.attempt)
+                    _act(made, number, own.work.finished(made.now, action.id, Answer(How.REFUSED)))
+            case Carry():
+                own.engine[action.record.id] = 0
+                if not action.counted:
+                    made.again.append(action.record.id.decode())
+            case Leave():
+                own.engine.pop(action.id, None)
+            case Give():
+                made.told.setdefault(made.waiting.pop(action.token), []).append(action.answer.how)
+            case Ask():
+                made.asking.append((number, own.life, action.pair, action.owner))
+
+
+# --- what may happen next ---------------------------------------------------------------------------------
+
+
+Step = tuple[Any, ...]
+
+
+def steps(made: World) -> Iterator[Step]:
+    """Everything that may happen next, each as a name and what it is about."""
+    budget, awake = made.budget, [i.alive and not i.stopped for i in made.instances]
+    for place, (_, _, to, _) in enumerate(made.flying):
+        if made.instances[to].alive and not awake[to]:
+            continue  # it waits in the socket
+        yield "hear", place
+        if budget.lost and awake[to]:
+            yield "lose", place
+        if budget.doubled and awake[to]:
+            yield "twice", place
+    for number, own in enumerate(made.instances):
+        if awake[number]:
+            for request in own.engine:
+                if own.engine[request] == 0:
+                    yield "decide", number, request
+            if budget.deaths and number < 2:
+                yield "die", number
+            if budget.stops and number < 1:
+                yield "stop", number
+        elif own.stopped:
+            yield "resume", number
+        elif not own.alive and budget.restarts:
+            yield "restart", number
+    for place in range(len(made.attempts)):
+        yield "run", place
+    for place, (_, to, _) in enumerate(made.answers):
+        if awake[to] or not made.instances[to].alive:
+            yield "answer", place
+    for place, (to, _) in enumerate(made.news):
+        if awake[to] or not made.instances[to].alive:
+            yield "learn", place
+    for place, (to, _, _, _) in enumerate(made.asking):
+        if awake[to] or not made.instances[to].alive:
+            yield "word", place
+    for place, (_, at) in enumerate(made.comes):
+        if awake[at]:
+            yield "come", place
+    if budget.ticks and any(awake):
+        yield ("tick",)
+
+
+def take(made: World, step: Step) -> None:
+    """Have it happen."""
+    budget, now = made.budget, made.now
+    match step:
+        case ("hear" | "twice", place):
+            flight = made.flying[place] if step[0] == "twice" else made.flying.pop(place)
+            budget.doubled -= step[0] == "twice"
+            sender, life, to, message = flight
+            own = made.instances[to]
+            if own.alive:
+                _act(made, to, own.work.heard(now, NAMES[sender], life, message))
+        case ("lose", place):
+            budget.lost -= 1
+            made.flying.pop(place)
+        case ("decide", number, request):
+            own = made.instances[number]
+            own.engine[request] = 1
+            _act(made, number, own.work.intends(now, request, 0, "box", LEFT // 4))
+        case ("die", number):
+            budget.deaths -= 1
+            own = made.instances[number]
+            own.alive, own.engine = False, {}
+            for token in [t for t, request in made.waiting.items() if t % 10 == number]:
+                del made.waiting[token]  # its clients see their connections end
+            for other, peer in enumerate(made.instances):
+                if other != number and peer.alive:
+                    made.news.append((other, Dead(own.name, own.life)))
+        case ("stop", number):
+            budget.stops -= 1
+            made.instances[number].stopped = True
+        case ("resume", number):
+            made.instances[number].stopped = False
+        case ("restart", number):
+            budget.restarts -= 1
+            before = made.instances[number]
+            lease = before.work.lease
+            made.instances[number] = _born(number, before.life + 1, lease)
+            made.news = [(to, dead) for to, dead in made.news if dead.name != before.name]
+            _meet(made, number)
+        case ("run", place):
+            number, by, life, _ = made.attempts.pop(place)
+            made.runs[number] = made.runs.get(number, 0) + 1
+            made.answers.append((number, by, life))
+        case ("answer", place):
+            number, to, life = made.answers.pop(place)
+            own = made.instances[to]
+            if own.alive and own.life == life and number in own.engine:
+                del own.engine[number]
+                _act(made, to, own.work.finished(now, number, Answer(How.SERVED, b"v")))
+        case ("learn", place):
+            to, dead = made.news.pop(place)
+            own = made.instances[to]
+            if own.alive:
+                for item in own.peers.refused(dead.name, dead.incarnation):
+                    _act(made, to, own.work.news(now, item))
+        case ("word", place):
+            number, life, pair, owner = made.asking.pop(place)
+            stands = made.words.setdefault(pair, owner)
+            own = made.instances[number]
+            if own.alive and own.life == life:
+                _act(made, number, own.work.word(now, pair, stands))
+        case ("come", place):
+            request, at = made.comes.pop(place)
+            token, own = 100 + 10 * request + at, made.instances[at]
+            made.waiting[token] = b"r%d" % request
+            effect = Effect.ONCE if request == 0 else Effect.REPEATABLE
+            _act(made, at, own.work.back(now, token, b"r%d" % request, 7, effect))
+        case ("tick",):
+            budget.ticks -= 1
+            awake = [i for i in made.instances if i.alive and not i.stopped]
+            made.now = max(now + 1, min(due for i in awake if (due := i.work.due()) is not None))
+            for number, own in enumerate(made.instances):
+                if own in awake:
+                    _act(made, number, own.work.tick(made.now))
+
+
+# --- the rules --------------------------------------------------------------------------------------------
+
+
+def broken(made: World) -> str:
+    """The rule that this world breaks; empty for none."""
+    if made.runs.get(b"r0", 0) > 1:
+        return "an effect ran twice"
+    for request, hows in made.told.items():
+        if How.REFUSED in hows and made.runs.get(request) and request == b"r0":
+            return "told as refused, and it ran"
+        if How.SERVED in hows and How.FAILED in hows:
+            return "two answers that differ"
+    if made.again:
+        return "units counted twice"
+    return ""
+
+
+def stuck(made: World) -> str:
+    """What is left for good where nothing more can happen but the passing of time."""
+    for token, request in made.waiting.items():
+        number = token % 10
+        if made.instances[number].alive and not made.instances[number].stopped:
+            return f"nobody answers {request.decode()} for the client {token}"
+    return ""
+
+
+def _terms(name: str, lease: int, incarnation: int) -> Terms:
+    return Terms(name, CLASSES, wait=WAIT, keep=10_000_000, lease=lease, incarnation=incarnation)
+
+
+def _ranks() -> Ranks:
+    return RANKS
+
+
+def _plain(cls: type) -> Callable[[Any], tuple[Any, ...]]:
+    """How a dataclass is written down: its fields in their order. Its own way is many times slower."""
+    values = operator.attrgetter(*[one.name for one in dataclasses.fields(cls)])
+    return lambda thing: (cls, values(thing))
+
+
+PLAIN = (World, Instance, Budget, Own, Kept, Asked, Peer, _Held, _Given, Pair)
+TABLE: dict[type, Callable[[Any], tuple[Any, ...]]] = {
+    **copyreg.dispatch_table,  # type: ignore[dict-item]
+    **{cls: _plain(cls) for cls in PLAIN},
+    Terms: lambda terms: (_terms, (terms.name, terms.lease, terms.incarnation)),
+    Ranks: lambda ranks: (_ranks, ()),
+}
+
+
+class _Pickler(pickle.Pickler):
+    dispatch_table = TABLE
+
+
+def frozen(made: World) -> bytes:
+    """A world as bytes; the same ones where the same is in it."""
+    out = io.BytesIO()
+    _Pickler(out, protocol=5).dump(made)
+    return out.getvalue()
+
+
+@dataclass
+class Found:
+    """What a walk has found."""
+
+    worlds: int = 0
+    steps: int = 0
+    trace: list[Step] | None = None
+    why: str = ""
+
+
+def walk(start: World, most: int, told: Callable[[int], None] = lambda worlds: None) -> Found:
+    """Walk all worlds that can follow, `most` at the most; the first that breaks a rule ends it."""
+    found = Found()
+    seen: set[bytes] = set()
+    pile: list[tuple[bytes, tuple[Any, ...]]] = [(frozen(start), ())]
+    while pile and found.worlds < most:
+        data, trace = pile.pop()
+        digest = hashlib.blake2b(data, digest_size=12).digest()
+        if digest in seen:
+            continue
+        seen.add(digest)
+        found.worlds += 1
+        if found.worlds % 50_000 == 0:
+            told(found.worlds)
+        made: World = pickle.loads(data)
+        ahead = list(steps(made))
+        for number, step in enumerate(ahead):
+            following: World = made if number == len(ahead) - 1 else pickle.loads(data)
+            take(following, step)
+            found.steps += 1
+            if why := broken(following):
+                found.trace, found.why = [*_listed(trace), step], why
+                return found
+            pile.append((frozen(following), (step, trace)))
+    return found
+
+
+def _listed(trace: tuple[Any, ...]) -> list[Step]:
+    listed = []
+    while trace:
+        step, trace = trace
+        listed.append(step)
+    return listed[::-1]
--- a/lynxreel/takeover/rights.py
+++ b/lynxreel/takeover/rights.py
@@ -22,8 +22,9 @@
 
 import msgspec
 
-BEATS = 3  # in a lease
+BEATS = 6  # in a lease: a death is certain for at least half of one after the last of them
 GRACE = 0.5  # of a lease that an owner leaves the word to none: a keeper that was slow is back by then
+CHAIN = 2  # Echoes that an owner answers with a Beat at once
 KEPT_BEATS = 16  # whose Echoes are remembered
 
 
@@ -71,6 +72,7 @@
     until: int = 0
     heard: int = 0
     asking: bool = False
+    echoes: int = 0
 
 
 @dataclass(slots=True)
@@ -122,12 +124,18 @@
         held = self._held[keeper]
         return Beat(held.session, now, held.heard)
 
+    def young(self, keeper: str) -> bool:
+        """The keeper can't be sure of the right yet: that takes one Beat behind two Echoes."""
+        held = self._held.get(keeper)
+        return held is not None and held.echoes <= CHAIN
+
     def echoed(self, now: int, keeper: str, echo: Echo) -> bool:
         """A keeper has answered. True: what could not be acted on before may be now."""
         held = self._held.get(keeper)
         if held is None or held.session != echo.session or echo.stamp > now:
             return False
         before = now < held.until
+        held.echoes += 1
         held.heard = max(held.heard, echo.stamp)
         held.until = max(held.until, echo.stamp + self.lease)
         return not before and now < held.until
@@ -152,7 +160,7 @@
             return False
         held.asking = False
         if known:
-            held.session, held.until, held.heard = held.session + 1, 0, 0
+            held.session, held.until, held.heard, held.echoes = held.session + 1, 0, 0, 0
         return known
 
     # --- the keeper -------------------------------------------------------------------------------------
--- a/lynxreel/takeover/work.py
+++ b/lynxreel/takeover/work.py
@@ -210,6 +210,11 @@
         self._again: dict[Pair, tuple[int, bool]] = {}  # words that could not be had, and when to ask again
         self._out: list[Action] = []
 
+    @property
+    def lease(self) -> int:
+        """For which a keeper gives the right to act; 0: only the dead are followed."""
+        return self._terms.lease
+
     # --- the owner --------------------------------------------------------------------------------------
 
     def accepted(self, now: int, record: Record, left: int, counted: bool, token: int) -> list[Action]:
@@ -535,6 +540,8 @@
             case Echo():
                 if self._rights.echoed(now, sender, message):
                     self._regained(now, sender)
+                if self._rights.young(sender):
+                    self._out.append(Say(sender, self._rights.beat(now, sender)))
             case Noted():
                 own = self._owned(sender, message.id, message.epoch)
                 if own is not None and message.attempt in own.holding:
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -178,7 +178,7 @@
     """etcd has no quorum: a stopped owner is not followed; one that is then killed is, within its lease."""
 
     async def scenario() -> None:
-        async with wired(tmp_path) as (deployment, cluster):
+        async with wired(tmp_path, lease=1_000) as (deployment, cluster):
             await ready(deployment)
             cluster.faults.on(Fault(Kind.QUORUM))
             deployment.counter_faults.on(Fault(Kind.SLOW, delay=0.4))
