All orders of three instances: three faults found in who is told what, and mended

Need: proof beside the tests. Found by it and mended in work.py, with their traces read step by step: (1) a client was told unknown while a copy of a dead owner was on its way, which another come-back then ran: a Want of the last round is a word that nobody may have it later; (2) an answer to an earlier round counted for the last one, and news of a death skipped it; (3) a refusal went to the client before its keeper knew it, which could still run the request: for once it now waits for the keeper, and is told as failed where that is silent.

--- a/lynxreel/standins/interleavings.py
+++ b/lynxreel/standins/interleavings.py
@@ -16,6 +16,7 @@
 import io
 import operator
 import pickle
+import random
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
@@ -79,7 +80,7 @@
     runs: dict[bytes, int] = field(default_factory=dict)
     told: dict[bytes, list[How]] = field(default_factory=dict)
     waiting: dict[int, bytes] = field(default_factory=dict)  # clients, by token
-    again: list[str] = field(default_factory=list)  # requests whose units were counted twice
+    wrongs: list[str] = field(default_factory=list)  # what must never be done
 
 
 def world(budget: Budget, lease: int = 0, requests: tuple[str, ...] = ("once", "repeatable")) -> World:
@@ -131,6 +132,8 @@
                 if own.peers.peers[action.to].state is State.UP:
                     made.flying.append((number, own.life, NAMES.index(action.to), action.message))
             case Go():
+                if How.UNKNOWN in made.told.get(action.id, ()):
+                    made.wrongs.append("sent on after it was told as unknown")
                 made.attempts.append((action.id, number, own.life, action.attempt))
             case Stay():
                 if action.id in own.engine:  # the module gives up
@@ -140,7 +143,7 @@
             case Carry():
                 own.engine[action.record.id] = 0
                 if not action.counted:
-                    made.again.append(action.record.id.decode())
+                    made.wrongs.append("its units are counted twice")
             case Leave():
                 own.engine.pop(action.id, None)
             case Give():
@@ -219,6 +222,7 @@
             budget.deaths -= 1
             own = made.instances[number]
             own.alive, own.engine = False, {}
+            made.flying = [flight for flight in made.flying if flight[2] != number]
             for token in [t for t, request in made.waiting.items() if t % 10 == number]:
                 del made.waiting[token]  # its clients see their connections end
             for other, peer in enumerate(made.instances):
@@ -285,9 +289,7 @@
             return "told as refused, and it ran"
         if How.SERVED in hows and How.FAILED in hows:
             return "two answers that differ"
-    if made.again:
-        return "units counted twice"
-    return ""
+    return made.wrongs[0] if made.wrongs else ""
 
 
 def stuck(made: World) -> str:
@@ -370,6 +372,26 @@
     return found
 
 
+def stroll(start: World, seed: int, most: int, left: int = 200) -> Found:
+    """`most` chance ways through the worlds, each of `left` steps or until nothing can happen."""
+    found, chance, data = Found(), random.Random(seed), frozen(start)
+    for _ in range(most):
+        made: World = pickle.loads(data)
+        trace: list[Step] = []
+        for _ in range(left):
+            ahead = list(steps(made))
+            if not ahead:
+                break
+            trace.append(chance.choice(ahead))
+            take(made, trace[-1])
+            found.steps += 1
+            if why := broken(made):
+                found.why, found.trace = why, trace
+                return found
+        found.worlds += 1
+    return found
+
+
 def _listed(trace: tuple[Any, ...]) -> list[Step]:
     listed = []
     while trace:
--- a/lynxreel/takeover/messages.py
+++ b/lynxreel/takeover/messages.py
@@ -112,12 +112,15 @@
     token: int
     id: bytes
     customer: int
+    round: int  # which asking it is; an answer to an earlier one says nothing of now
+    last: bool  # if nobody has it now, nobody may have it later: its end will be told as unknown
 
 
 class Result(msgspec.Struct, frozen=True, array_like=True, tag="result"):
     """The answer to a Want, which may take as long as the work."""
 
     token: int
+    round: int
     answer: Answer
 
 
--- a/lynxreel/takeover/work.py
+++ b/lynxreel/takeover/work.py
@@ -36,6 +36,7 @@
 ROUNDS = 2  # times that all are asked before nobody is held to have it: news of it may be on its way
 PAUSE = 20_000  # microseconds between them
 REPEAT = 100_000  # microseconds after which a Want is said again
+ANSWER = -1  # in place of an attempt: the answer itself is noted
 MARGIN = 250_000  # microseconds by which a repeat under a key must be ahead of the boxes' forgetting
 Waiter: TypeAlias = "int | tuple[str, int]"  # a client here by its token, or an instance and its token
 
@@ -152,6 +153,7 @@
     waits: dict[int, int] = field(default_factory=dict)  # attempts, and when nobody waits for them any more
     answer: Answer | None = None
     parked: Answer | None = None  # the answer, while this instance may not give it
+    refusing: bool = False  # the answer waits for the keeper to know it
     taken: int = 0  # the epoch of another owner, which was found out
 
 
@@ -183,6 +185,7 @@
     waiting: dict[str, bool]  # who is asked, and whether its word is awaited
     round: int = 0
     again: int = 0  # when to ask again
+    paused: bool = False  # until then nobody is asked
 
 
 class Work:
@@ -207,6 +210,7 @@
         self._waited: dict[bytes, None] = {}  # copies that somebody waits for
         self._carries: list[tuple[int, bytes]] = []  # own requests whose turn comes when an attempt is over
         self._turned: dict[bytes, tuple[int, str, int]] = {}  # copies that were turned away, and whose
+        self._denied: dict[bytes, None] = {}  # what a client was told to be held by nobody
         self._again: dict[Pair, tuple[int, bool]] = {}  # words that could not be had, and when to ask again
         self._out: list[Action] = []
 
@@ -268,19 +272,38 @@
         for attempt in list(own.holding):
             self._freed(own, attempt)
         if self._may(now, own):
-            self._finish(own, answer)
+            self._finish(now, own, answer)
         else:
             own.parked = answer
             self._parked[number] = None
         return self._out
 
-    def _finish(self, own: Own, answer: Answer) -> None:
+    def _finish(self, now: int, own: Own, answer: Answer) -> None:
         own.answer, own.parked = answer, None
         self._parked.pop(own.record.id, None)
-        if own.keeper is not None:
-            session = self._rights.session(own.keeper)
-            self._out.append(Say(own.keeper, Done(own.record.id, own.epoch, session, answer)))
-        self._give_all(own, answer)
+        if own.keeper is None:
+            self._give_all(own, answer)
+            return
+        session = self._rights.session(own.keeper)
+        self._out.append(Say(own.keeper, Done(own.record.id, own.epoch, session, answer)))
+        if self._sure(own) and answer.how is How.REFUSED:
+            # Whoever is told that nothing has run may ask anew: its keeper must know before that.
+            own.refusing = True
+            self._holds[(own.record.id, ANSWER)] = now + self._terms.wait
+        else:
+            self._give_all(own, answer)
+
+    def _refused(self, own: Own, known: bool) -> None:
+        """Its keeper knows that it was refused; or says nothing, and might run it yet."""
+        if not own.refusing or own.answer is None:
+            return
+        own.refusing = False
+        self._holds.pop((own.record.id, ANSWER), None)
+        self._give_all(own, own.answer if known else Answer(How.FAILED))
+
+    def _sure(self, own: Own) -> bool:
+        """Whether the keeper's word is waited for."""
+        return self._terms.sure and self._class(own.record).effect is Effect.ONCE
 
     def _may(self, now: int, own: Own) -> bool:
         """Whether this instance may do anything about it that others see."""
@@ -355,6 +378,7 @@
             own.why = "full" if own.full else "nobody is up"
             self.counts["uncovered"] += 1
             self._release(now, own)
+            self._refused(own, True)  # nobody has a copy
             return
         own.noted.clear()
         own.at = self._peers.peers[own.keeper].incarnation
@@ -379,7 +403,7 @@
         """Let go what may be sent on: where nobody has a copy nobody else can go on with it."""
         if not self._may(now, own):
             return
-        waits = own.keeper is not None and self._terms.sure and self._class(own.record).effect is Effect.ONCE
+        waits = own.keeper is not None and self._sure(own)
         for attempt in [a for a in own.holding if not waits or a in own.noted]:
             self._freed(own, attempt)
             self._out.append(Go(own.record.id, attempt))
@@ -411,12 +435,16 @@
             if self._peers.peers[name].state is State.DEAD:
                 asked.waiting[name] = False
             elif asked.waiting[name]:
-                self._out.append(Say(name, Want(token, asked.id, asked.customer)))
+                last = asked.round >= ROUNDS
+                self._out.append(Say(name, Want(token, asked.id, asked.customer, asked.round, last)))
         self._none(now, token, asked)
 
     def _none(self, now: int, token: int, asked: Asked) -> None:
         """What follows once all that were asked have said that they don't have it."""
-        if any(asked.waiting.values()):
+        if asked.paused or any(asked.waiting.values()):
+            return
+        if self._claim(now, token, asked.id, asked.customer):
+            del self.asked[token]  # a copy has come here meanwhile
             return
         if asked.round < ROUNDS:
             asked.round += 1
@@ -424,9 +452,10 @@
                 asked.waiting = dict.fromkeys(self._peers.peers, True)
                 self._ask(now, token, asked)
             else:
-                asked.again = now + PAUSE
+                asked.again, asked.paused = now + PAUSE, True
             return
         del self.asked[token]
+        self._deny(now, asked.id)
         self._end_unknown(token, asked.effect)
 
     def _claim(self, now: int, waiter: Waiter, number: bytes, customer: int) -> bool:
@@ -435,7 +464,7 @@
         entry = self.kept.get(number) if own is None or own.taken else own
         if entry is None or entry.record.customer != customer:
             return False
-        if entry.answer is not None:
+        if entry.answer is not None and not (isinstance(entry, Own) and entry.refusing):
             self.counts["told_again"] += 1
             self._give(waiter, entry.answer)
             return True
@@ -473,7 +502,7 @@
             if isinstance(waiter, int):
                 self._come(now, waiter, record.id, record.customer, self._class(record).effect)
             else:
-                self._out.append(Say(waiter[0], Result(waiter[1], NONE)))
+                self._out.append(Say(waiter[0], Result(waiter[1], -1, NONE)))  # it asks again by itself
 
     def _give_all(self, entry: Own | Kept, answer: Answer) -> None:
         waiters, entry.waiters = entry.waiters, []
@@ -485,7 +514,7 @@
             self._here.pop(waiter, None)
             self._out.append(Give(waiter, answer))
         else:
-            self._out.append(Say(waiter[0], Result(waiter[1], answer)))
+            self._out.append(Say(waiter[0], Result(waiter[1], 0, answer)))
 
     def _take(self, now: int, kept: Kept, dead: bool) -> None:
         """The owner is lost, and somebody waits: this instance is the owner from now on."""
@@ -544,7 +573,9 @@
                     self._out.append(Say(sender, self._rights.beat(now, sender)))
             case Noted():
                 own = self._owned(sender, message.id, message.epoch)
-                if own is not None and message.attempt in own.holding:
+                if own is not None and message.attempt == ANSWER:
+                    self._refused(own, True)
+                elif own is not None and message.attempt in own.holding:
                     own.noted.add(message.attempt)
                     self._release(now, own)
             case Unkept():
@@ -555,7 +586,9 @@
                 self._on_taken(now, message)
             case Want():
                 if not self._claim(now, (sender, message.token), message.id, message.customer):
-                    self._out.append(Say(sender, Result(message.token, NONE)))
+                    if message.last:
+                        self._deny(now, message.id)
+                    self._out.append(Say(sender, Result(message.token, message.round, NONE)))
             case Result():
                 self._on_result(now, sender, message)
         return self._out
@@ -587,7 +620,8 @@
 
     def _on_put(self, now: int, sender: str, at: int, put: Put) -> None:
         number = put.record.id
-        if self._turned.get(number) == (put.epoch, sender, at):
+        denied = number in self._denied and number not in self.kept
+        if denied or self._turned.get(number) == (put.epoch, sender, at):
             self._out.append(Say(sender, Unkept(number, put.epoch)))
             return
         current, kept = self._known(now, sender, at, number, put.epoch, put.session)
@@ -613,6 +647,8 @@
             kept.sent = sent if kept.sent is None else min(sent, kept.sent)
         if put.answer is not None:
             self._answered(kept, put.answer)
+            if put.answer.how is How.REFUSED and self._class(kept.record).effect is Effect.ONCE:
+                self._out.append(Say(sender, Noted(number, put.epoch, ANSWER)))
 
     def _on_intent(self, now: int, sender: str, at: int, intent: Intent) -> None:
         current, kept = self._known(now, sender, at, intent.id, intent.epoch, intent.session)
@@ -627,6 +663,11 @@
         if self._class(kept.record).effect is Effect.ONCE:
             self._out.append(Say(sender, Noted(intent.id, intent.epoch, intent.attempt)))
 
+    def _deny(self, now: int, number: bytes) -> None:
+        """A client is told that nobody has it: a copy that comes later, of a lost owner, is too late."""
+        self._denied[number] = None
+        self._end_at(now + self._terms.keep, number)
+
     def _turn_away(self, now: int, sender: str, at: int, number: bytes, epoch: int) -> None:
         """It is not kept here, and will not be: its owner looks for another keeper, and one is enough."""
         self._turned[number] = (epoch, sender, at)
@@ -637,6 +678,8 @@
         _, kept = self._known(now, sender, at, done.id, done.epoch, done.session)
         if kept is not None:
             self._answered(kept, done.answer)
+            if done.answer.how is How.REFUSED and self._class(kept.record).effect is Effect.ONCE:
+                self._out.append(Say(sender, Noted(done.id, done.epoch, ANSWER)))
 
     def _answered(self, kept: Kept, answer: Answer) -> None:
         if kept.answer is None:
@@ -658,7 +701,8 @@
             return
         own.taken = epoch
         self.counts["fenced"] += 1
-        own.parked = None
+        own.parked, own.refusing = None, False
+        self._holds.pop((own.record.id, ANSWER), None)
         self._parked.pop(own.record.id, None)
         self._out.append(Leave(own.record.id, moved=True))
         for attempt in list(own.holding):
@@ -679,7 +723,7 @@
         """The right to act on what this keeper keeps is back."""
         for own in [own for own in self.own.values() if own.keeper == keeper and not own.taken]:
             if own.parked is not None:
-                self._finish(own, own.parked)
+                self._finish(now, own, own.parked)
                 continue
             self._release(now, own)
         self._cover_bare(now)
@@ -715,7 +759,7 @@
                 continue
             self._cover(now, own)
             if own.parked is not None and self._may(now, own):
-                self._finish(own, own.parked)
+                self._finish(now, own, own.parked)
 
     def _ask_words(self, now: int) -> None:
         """Ask for the word about what can't be acted on, and has to be."""
@@ -740,7 +784,7 @@
         if result.answer.how is not How.NONE:
             del self.asked[result.token]
             self._give(result.token, result.answer)
-        elif asked.waiting.get(sender):
+        elif asked.waiting.get(sender) and result.round == asked.round:
             asked.waiting[sender] = False
             self._none(now, result.token, asked)
 
@@ -833,13 +877,16 @@
         self._out = []
         while self._holds and next(iter(self._holds.values())) <= now:
             number, attempt = next(iter(self._holds))
+            if attempt == ANSWER:
+                self._refused(self.own[number], False)
+                continue
             self._freed(self.own[number], attempt)
             self.counts["stayed"] += 1
             self._out.append(Stay(number, attempt))
         for token, asked in list(self.asked.items()):
             if asked.again <= now:
-                if not any(asked.waiting.values()):
-                    asked.waiting = dict.fromkeys(asked.waiting, True)
+                if asked.paused:
+                    asked.waiting, asked.paused = dict.fromkeys(self._peers.peers, True), False
                 self._ask(now, token, asked)
         while self._carries and self._carries[0][0] <= now:
             self._carry(now, heapq.heappop(self._carries)[1])
@@ -862,7 +909,7 @@
         if own is None or own.taken or own.answer is not None:
             return
         if (final := self._final(now, own)) is not None:
-            self._finish(own, final)
+            self._finish(now, own, final)
         else:
             self._out.append(Carry(own.record, own.until - now, own.counted, self._ran(own)))
 
@@ -876,6 +923,7 @@
             del self.own[number]
             self._parked.pop(number, None)
         self._turned.pop(number, None)
+        self._denied.pop(number, None)
         if kept is not None and kept.until + self._terms.keep <= now:
             self._forget(kept)
 
