lynxreel fleet work, losses that meet, and how long a loop stood still

Need: operators must see what is in hand; hard cases of the issue without a test; and late answers near a kill, of which nobody could say whose loop stood still. Change: lynxreel fleet work and the query behind it; tests/test_losses.py kills owner and keeper together, the successor in its middle, restarts an instance under its old name, and kills a third of a fleet whose wires lose, double, swap and delay a tenth of what is said; bench takeover and takeover_orders; state.json and records tell stood_ms, the longest time that an instance's loop stood still.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,7 +10,7 @@
     "cost", "decisions", "start", "drain", "fleet", "seeds", "counter_faults", "counter_clients",
     "counter_cost", "etcd", "routes", "http_cost", "http_mixed", "http_fuzz", "http_schema", "workers",
     "handover", "days", "choice", "fleet_change", "lending", "large_values", "operations", "upgrades",
-    "quota_bound", "planning_family",
+    "quota_bound", "planning_family", "takeover_orders", "takeover",
 )  # fmt: skip
 
 
--- a/lynxreel/cli/fleet.py
+++ b/lynxreel/cli/fleet.py
@@ -1,4 +1,4 @@
-"""`lynxreel fleet`: what each gateway goes by while their number changes, and what may be done next."""
+"""`lynxreel fleet`: what each gateway goes by while their number changes, and the work in their hands."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 from lynxreel.config.read import ConfigError, read
 from lynxreel.daemon.place import Place
 from lynxreel.fleet.views import Step, View, advise
+from lynxreel.jsonlines import ask
 
 WAIT, BAD_CONFIG = 1, 78
 
@@ -38,6 +39,29 @@
     return WAIT if advice.step is Step.WAIT else 0
 
 
+def work(configs: list[Path]) -> int:
+    """Print as JSON what each instance has in hand and keeps. 1: one can't be asked; 78: a file is wrong."""
+    told: dict[str, object] = {}
+    unknown = 0
+    try:
+        files = [read(config) for config in configs]
+    except ConfigError as wrong:
+        print(wrong, file=sys.stderr)
+        return BAD_CONFIG
+    for file in files:
+        place = Place(file.state.folder)
+        if not place.held():
+            told[file.gateway.name] = "it does not run"
+            continue
+        try:
+            told[file.gateway.name] = ask(str(place.queries), "work")
+        except (OSError, ValueError) as wrong:
+            told[file.gateway.name] = f"can't be asked: {wrong}"
+            unknown += 1
+    print(json.dumps(told, indent=2))
+    return WAIT if unknown else 0
+
+
 def _view(place: Place, workers: int) -> View | None:
     """What an instance goes by; a worker's numbers are of workers."""
     told = place.read().get("fleet")
--- a/lynxreel/cli/main.py
+++ b/lynxreel/cli/main.py
@@ -102,8 +102,10 @@
 
 
 def _fleet(args: argparse.Namespace) -> int:
-    from lynxreel.cli.fleet import fleet
+    from lynxreel.cli.fleet import fleet, work
 
+    if args.act == "work":
+        return work(args.config)
     return fleet(args.config, args.gateways, args.before)
 
 
@@ -203,6 +205,7 @@
     inspect.set_defaults(run=_inspect)
 
     fleet = commands.add_parser("fleet", help="while the number of gateways changes: what may be done next")
+    fleet.add_argument("act", nargs="?", choices=("next", "work"), default="next", help="or what is in hand")
     fleet.add_argument("--config", type=Path, action="append", required=True, metavar="FILE")
     fleet.add_argument("--gateways", type=int, default=0, help="as given out; what the first file says")
     fleet.add_argument("--before", type=int, default=0, help="likewise, while it changes")
--- a/lynxreel/daemon/serve.py
+++ b/lynxreel/daemon/serve.py
@@ -41,6 +41,7 @@
     signal.SIGHUP: Ask.RELOAD, signal.SIGUSR1: Ask.LEAVE,
     signal.SIGTERM: Ask.STOP, signal.SIGINT: Ask.STOP,
 }  # fmt: skip
+LOOK = 0.02  # seconds between looks whether the loop has stood still
 QUIET_SPANS = 10  # spans of records with nothing to tell after which a line is written all the same
 
 
@@ -78,6 +79,7 @@
         self._left = 0
         self._address_goes = True  # when this instance ends, nobody else serves where it did
         self._quiet = 0
+        self._stood = 0.0  # seconds that the loop stood still at the worst, since the state was last written
         self._queries: asyncio.Server | None = None
         self._adopting = asyncio.Lock()  # a reload and settings from a source take turns
         self._settings: dict[str, bytes] = {}  # in force, by key
@@ -94,6 +96,7 @@
         self._tell()
         await self._listen_for_queries()
         self.later(self._count())
+        self.later(self._watch_loop())
         if self._notifier.watchdog is not None:
             self.later(self._show_life(self._notifier.watchdog))
         if self._leash is not None:
@@ -306,6 +309,7 @@
             "totals": dict(self._tally.totals),
             "records_missed": self._writer.missed if self._writer is not None else 0,
             "left": self._left,
+            "stood_ms": round(self._stood * 1e3),
             "fleet": {"gateways": (seen := self._file.view).gateways, "before": seen.before},
         }
         if (guard := self.node.guard) is not None:
@@ -323,6 +327,13 @@
         if self._writer is not None:
             self._writer.write(kind, content)
 
+    async def _watch_loop(self) -> None:
+        """See for how long nothing was done: what was due then was late."""
+        while True:
+            due = self.loop.time() + LOOK
+            await asyncio.sleep(LOOK)
+            self._stood = max(self._stood, self.loop.time() - due)
+
     async def _count(self) -> None:
         """Write down what was counted, again and again."""
         while True:
@@ -330,6 +341,7 @@
             await asyncio.sleep(every)
             self._write_counts(False)
             self._write_state()
+            self._stood = 0.0
 
     def _write_counts(self, last: bool) -> None:
         names = self.node.deployment.places
@@ -340,6 +352,7 @@
             self._quiet = 0
             owed, connections = self.node.engine.owed(), self.node.connections
             counts = {"counts": [], "causes": {}, **content, "owed": owed, "connections": connections}
+            counts["stood_ms"] = round(self._stood * 1e3)
             self._record("counts", counts)
 
     async def _show_life(self, every: float) -> None:
--- a/lynxreel/standins/clients.py
+++ b/lynxreel/standins/clients.py
@@ -5,7 +5,7 @@
 import asyncio
 import itertools
 import random
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import cast
@@ -145,6 +145,7 @@
         self.gates, self.ledger = gates, ledger
         self.counts: Counter[str] = Counter()  # unsent, resent, unreachable
         self.latency: Counter[int] = Counter()  # served requests by milliseconds
+        self.spans: deque[float] = deque(maxlen=100_000)  # seconds that answers of the served took
         self.lag = 0.0  # seconds that this process itself was late at the worst
         self._retries = retries
         self._random = random.Random(seed)
@@ -250,6 +251,7 @@
         if answer[:1] == b"$" and answer != b"$-1":
             if answer[1:] == value_for(ask.number):
                 self.ledger.answer(ask.number, "served", now)
+                self.spans.append(now - ask.entry.asked)
                 self.latency[int((now - ask.entry.asked) * 1e3)] += 1
             else:
                 self.ledger.lose(ask.number, f"served with {answer[:40]!r}")
--- a/lynxreel/standins/interleavings.py
+++ b/lynxreel/standins/interleavings.py
@@ -345,11 +345,14 @@
     why: str = ""
 
 
-def walk(start: World, most: int, told: Callable[[int], None] = lambda worlds: None) -> Found:
-    """Walk all worlds that can follow, `most` at the most; the first that breaks a rule ends it."""
+def walk(start: bytes, most: int, seen: set[bytes] | None = None) -> Found:
+    """Walk all worlds that can follow a frozen one, `most` at the most; the first broken rule ends it.
+
+    `seen` gets a digest of each.
+    """
     found = Found()
-    seen: set[bytes] = set()
-    pile: list[tuple[bytes, tuple[Any, ...]]] = [(frozen(start), ())]
+    seen = set() if seen is None else seen
+    pile: list[tuple[bytes, tuple[Any, ...]]] = [(start, ())]
     while pile and found.worlds < most:
         data, trace = pile.pop()
         digest = hashlib.blake2b(data, digest_size=12).digest()
@@ -357,13 +360,7 @@
             continue
         seen.add(digest)
         found.worlds += 1
-        if found.worlds % 50_000 == 0:
-            told(found.worlds)
-        made: World = pickle.loads(data)
-        ahead = list(steps(made))
-        for number, step in enumerate(ahead):
-            following: World = made if number == len(ahead) - 1 else pickle.loads(data)
-            take(following, step)
+        for step, following in _ahead(data):
             found.steps += 1
             if why := broken(following):
                 found.trace, found.why = [*_listed(trace), step], why
@@ -372,6 +369,22 @@
     return found
 
 
+def shards(start: bytes, least: int) -> list[bytes]:
+    """Worlds that follow it, at least so many, from which the walk can go on apart."""
+    front = [start]
+    while len(front) < least:
+        front = list({frozen(following) for data in front for _, following in _ahead(data)})
+    return front
+
+
+def _ahead(data: bytes) -> Iterator[tuple[Step, World]]:
+    """All that may happen next, and what comes of each."""
+    for step in list(steps(pickle.loads(data))):
+        following: World = pickle.loads(data)
+        take(following, step)
+        yield step, following
+
+
 def stroll(start: World, seed: int, most: int, left: int = 200) -> Found:
     """`most` chance ways through the worlds, each of `left` steps or until nothing can happen."""
     found, chance, data = Found(), random.Random(seed), frozen(start)
--- /dev/null
+++ b/tests/test_losses.py
@@ -0,0 +1,113 @@
+"""Losses that meet: owner and keeper, the successor in its middle, a restart; and wires that lose things."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from lynxreel.local.deployment import Deployment
+from lynxreel.standins.faults import Fault, Kind
+from tests.fleet import Caller, fleet, run
+from tests.test_rights import work_of
+from tests.test_work_in_hand import COMMIT, back, came, clean, patiently, until
+
+LOOKUP = ["CALL.GET", f"{77:016x}", "r1", "c=lookup,t=standard,d=1900,units=1"]
+
+
+async def keeper_of(deployment: Deployment, number: int) -> int:
+    """Who keeps the one request that an instance has in hand."""
+    (name,) = (await work_of(deployment.gateways[number]))["covered_by"]
+    return int(name[1:])
+
+
+@pytest.mark.parametrize(("call", "told"), [(COMMIT, b"-UNKNOWN"), (LOOKUP, b"-BUSY")])
+def test_owner_and_keeper_killed_together(tmp_path: Path, call: list[str], told: bytes) -> None:
+    async def scenario() -> None:
+        async with fleet(tmp_path, 3, takeover=True, zones=3) as deployment:
+            deployment.box_faults.on(Fault(Kind.SLOW, delay=0.3))
+            owner = await Caller.to(deployment.gateways[0])
+            owner.command(*call)
+            await until(lambda: came(deployment) == 1)
+            keeper = await keeper_of(deployment, 0)
+            for number in (0, keeper):
+                deployment.gateways[number].process.kill()
+            other = await Caller.to(deployment.gateways[3 - keeper])
+            other.command(*back(call))
+            assert (await other.answer()).startswith(told)
+            await asyncio.sleep(0.4)
+            assert came(deployment) == 1
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(("call", "told", "runs"), [(COMMIT, b"-UNKNOWN", 1), (LOOKUP, b"done r1", 3)])
+def test_the_successor_is_killed_in_the_middle(
+    tmp_path: Path, call: list[str], told: bytes, runs: int
+) -> None:
+    """Its own keeper follows: an effect has run once, a lookup runs a third time and is served."""
+
+    async def scenario() -> None:
+        async with fleet(tmp_path, 4, takeover=True, zones=4, edit=patiently) as deployment:
+            effect = call is COMMIT
+            if effect:
+                deployment.counter_faults.on(Fault(Kind.SLOW, delay=0.3))
+            deployment.box_faults.on(Fault(Kind.SLOW, delay=0.2))
+            owner = await Caller.to(deployment.gateways[0])
+            owner.command(*call)
+            await until(lambda: deployment.counter.calls > 0 if effect else came(deployment) == 1)
+            await asyncio.sleep(0.02)
+            keeper = await keeper_of(deployment, 0)
+            deployment.gateways[0].process.kill()
+            third = next(number for number in (1, 2, 3) if number != keeper)
+            other = await Caller.to(deployment.gateways[third])
+            other.command(*back(call))
+            await until(lambda: came(deployment) == (1 if effect else 2))
+            deployment.gateways[keeper].process.kill()
+            assert (await other.answer()).startswith(told)
+            assert came(deployment) == runs
+
+    run(scenario)
+
+
+def test_an_instance_restarted_under_its_old_name_is_another_one(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with fleet(tmp_path, 3, takeover=True, zones=3) as deployment:
+            deployment.box_faults.on(Fault(Kind.SLOW, delay=0.2))
+            owner = await Caller.to(deployment.gateways[0])
+            owner.command(*LOOKUP)
+            await until(lambda: came(deployment) == 1)
+            keeper = await keeper_of(deployment, 0)
+            before = (await work_of(deployment.gateways[0]))["incarnation"]
+            await deployment.restart(0)
+            other = await Caller.to(deployment.gateways[3 - keeper])
+            other.command(*back(LOOKUP))
+            assert await other.answer() == b"done r1"
+            await until(lambda: deployment.gateways[0].gate.up and deployment.gateways[0].place.held())
+            assert (await work_of(deployment.gateways[0]))["incarnation"] > before
+            again = await Caller.to(deployment.gateways[0])
+            again.command(*back(LOOKUP))
+            assert await again.answer() == b"done r1"
+            assert came(deployment) == 2
+
+    run(scenario)
+
+
+def test_wires_that_lose_double_and_swap_while_a_third_is_killed_under_load(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with fleet(
+            tmp_path, 6, rate=120, boxes=16, edit=patiently, takeover=True, zones=3, wires=True
+        ) as deployment:
+            for kind in (Kind.LOSE, Kind.TWICE, Kind.SWAP, Kind.SLOW):
+                deployment.wire_faults.on(Fault(kind, share=0.1, delay=0.01))
+            deployment.box_faults.on(Fault(Kind.SLOW, delay=0.1))
+            play = asyncio.ensure_future(deployment.play(4.0))
+            await until(lambda: came(deployment) >= 100)
+            deployment.do("kill", (0, 4))
+            await play
+            await deployment.front.settle(10)
+            clean(deployment)
+            struck = {kind for wire in deployment.wires.values() for kind in wire.struck}
+            assert {Kind.LOSE, Kind.TWICE, Kind.SWAP} <= struck
+            assert all(loss.how for loss in deployment.front.losses if loss.left >= 0.5)
+
+    run(scenario)
--- a/tests/test_takeover_orders.py
+++ b/tests/test_takeover_orders.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from lynxreel.standins.interleavings import LEASE, Budget, stroll, walk, world
+from lynxreel.standins.interleavings import LEASE, Budget, frozen, stroll, walk, world
 from lynxreel.takeover import work as core
 from lynxreel.takeover.messages import Record
 from lynxreel.takeover.rights import Rights, Standing
@@ -18,7 +18,7 @@
 @pytest.mark.parametrize(("budget", "lease"), [(DEATHS, 0), (STOPS, LEASE)])
 def test_no_order_breaks_a_rule(budget: Budget, lease: int) -> None:
     """A part of what `python -m bench takeover_orders` walks."""
-    found = walk(world(budget, lease), 2_000)
+    found = walk(frozen(world(budget, lease)), 2_000)
     assert (found.why, found.worlds) == ("", 2_000), found.trace
     found = stroll(world(budget, lease), 1, 1_500)
     assert found.why == "", found.trace
--- a/tests/test_work_in_hand.py
+++ b/tests/test_work_in_hand.py
@@ -1,12 +1,14 @@
 """Requests that outlive their gateway: several processes of the program, killed under what they hold."""
 
 import asyncio
+import json
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from lynxreel.cli.main import main
 from lynxreel.local.deployment import Deployment, Gateway
 from lynxreel.standins.faults import Fault, Kind
 from tests.fleet import BROKEN, Caller, fleet, run
@@ -119,6 +121,24 @@
     run(scenario)
 
 
+def test_operators_see_what_is_in_hand(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    async def scenario() -> None:
+        async with fleet(tmp_path, 3, takeover=True, zones=3) as deployment:
+            deployment.box_faults.on(Fault(Kind.SLOW, delay=0.5))
+            owner = await Caller.to(deployment.gateways[0])
+            owner.command(*COMMIT)
+            await until(lambda: came(deployment) == 1)
+            words = [word for gateway in deployment.gateways for word in ("--config", str(gateway.config))]
+            assert await asyncio.to_thread(main, ["fleet", "work", *words]) == 0
+            told = json.loads(capsys.readouterr().out)
+            (row,) = told["g0"]["requests"]
+            assert (row["id"], row["stage"], row["why_not"], row["taken_over"]) == ("r1", "sent", "", 0)
+            assert told[row["covered_by"]]["kept_for"] == {"g0": 1}
+            assert set(told["g0"]["peers"].values()) == {"up"}
+
+    run(scenario)
+
+
 def test_an_answer_is_told_again_and_nothing_runs(tmp_path: Path) -> None:
     """Killed after its answer had gone out, which the client says that it never had."""
 
