A leaving keeper passes on what it keeps of the dead; restarts and clocks that jump

Need: a keeper that is stopped took the copies of dead owners with it, so a rolling restart lost what a kill before it had left. Change: before its links close, an instance takes what nobody else owns and puts it at others, which follow it once it has ended; two requests under one id never share a keeper. Tests over processes: that, a fleet restarted one by one under load, and clocks two seconds apart of which one jumps by three.

--- a/lynxreel/links/mesh.py
+++ b/lynxreel/links/mesh.py
@@ -115,6 +115,15 @@
                 log(f"{name} does not read what it is told: its link is ended")
                 link.transport.abort()
 
+    async def written(self, most: float) -> None:
+        """Wait until all that was said has left this process, for so many seconds at the most."""
+        self.flush()
+        last = self.loop.time() + most
+        while any(link.transport.get_write_buffer_size() for link in self._speaking.values()):
+            if self.loop.time() > last:
+                return
+            await asyncio.sleep(FIRST_PAUSE)
+
     async def _follow(self, place: Place) -> None:
         """Keep a link to one instance for as long as this one lives."""
         pause = FIRST_PAUSE
--- a/lynxreel/local/deployment.py
+++ b/lynxreel/local/deployment.py
@@ -180,12 +180,17 @@
 
     async def restart(self, number: int) -> None:
         """Kill an instance and start it again at once, under its name and address."""
-        gateway = self.gateways[number]
         self.do("kill", (number,))
-        await gateway.process.wait()
+        await self.gateways[number].process.wait()
+        await self.start_again(number)
+
+    async def start_again(self, number: int) -> Gateway:
+        """Start an instance that has ended, under its name and address."""
+        gateway = self.gateways[number]
         again = await self._launch(number, gateway.gate.address)
         gateway.process, gateway.asked = again.process, ""
         gateway.gate.dead = False  # what the dead one held has been reset
+        return gateway
 
     def move_counter(self, numbers: tuple[int, ...], address: tuple[str, int]) -> None:
         """Have some gateways call a counter at another address from now on."""
--- a/lynxreel/node.py
+++ b/lynxreel/node.py
@@ -341,6 +341,8 @@
         if self.web is not None:
             fronts.append(self.web.drain(most))
         await asyncio.gather(*fronts)
+        if self.cover is not None:
+            await self.cover.leave()
 
     def boxes(self) -> dict[str, object]:
         """What is believed of the servers and why, for the operators."""
--- a/lynxreel/takeover/cover.py
+++ b/lynxreel/takeover/cover.py
@@ -26,6 +26,7 @@
     from lynxreel.relay.stream import Stream
     from lynxreel.takeover.word import Store, Word
 
+LEAVE = 0.5  # seconds that an end waits until what it says is written
 LINKS = 0.1  # seconds that a start waits for the links: what is taken before is covered by nobody
 
 
@@ -100,6 +101,11 @@
         while len(self.mesh.peers.up()) < len(self.mesh.places) and self._loop.time() < last:
             await asyncio.sleep(LINKS / 20)
 
+    async def leave(self) -> None:
+        """The end is near, and nothing is owed: what is kept here and has no other owner goes to others."""
+        self._act(self.work.leaves(self._now()))
+        await self.mesh.written(LEAVE)
+
     def close(self) -> None:
         """The end of the process."""
         for timer in self._timers.values():
--- a/lynxreel/takeover/work.py
+++ b/lynxreel/takeover/work.py
@@ -518,12 +518,7 @@
 
     def _take(self, now: int, kept: Kept, dead: bool) -> None:
         """The owner is lost, and somebody waits: this instance is the owner from now on."""
-        self._forget(kept)
-        record = kept.record
-        own = Own(record, kept.epoch + 1, kept.until, kept.counted, kept.waiters, earlier=kept.sent)
-        self.own[record.id] = own
-        self.counts["taken_over"] += 1
-        own.answer = kept.answer
+        own, record = self._adopt(kept), kept.record
         if own.answer is None and (final := self._final(now, own)) is not None:
             own.answer = final
             self.counts["told_unknown"] += final is UNKNOWN
@@ -536,6 +531,24 @@
         else:
             self._out.append(Carry(record, own.until - now, own.counted, self._ran(own)))
 
+    def _adopt(self, kept: Kept) -> Own:
+        """Be the owner of what was kept."""
+        self._forget(kept)
+        own = Own(kept.record, kept.epoch + 1, kept.until, kept.counted, kept.waiters, earlier=kept.sent)
+        own.answer = kept.answer
+        self.own[kept.record.id] = own
+        self.counts["taken_over"] += 1
+        return own
+
+    def leaves(self, now: int) -> list[Action]:
+        """This instance is about to end: put what it keeps of lost owners at others, which follow it then."""
+        self._out = []
+        for kept in list(self.kept.values()):
+            dead = self._peers.is_dead(kept.owner, kept.at)
+            if self._rights.standing(now, kept.owner, kept.at, kept.session, dead) is Standing.MINE:
+                self._cover(now, self._adopt(kept))
+        return self._out
+
     def _final(self, now: int, own: Own) -> Answer | None:
         """The answer to one that must not be run any more; None where it may."""
         cls, since = self._class(own.record), self._since(own)
@@ -630,6 +643,9 @@
         sent = None if put.sent < 0 else now - put.sent
         if kept is None:
             before = self.kept.get(number)
+            if before is not None and before.epoch == put.epoch:
+                self._turn_away(now, sender, at, number, put.epoch)  # another request under the same id
+                return
             if before is not None:
                 self._forget(before)
             size = put.record.size
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -111,3 +111,46 @@
             assert all(loss.how for loss in deployment.front.losses if loss.left >= 0.5)
 
     run(scenario)
+
+
+def test_a_keeper_that_is_stopped_passes_on_what_it_kept_of_the_dead(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with fleet(tmp_path, 4, takeover=True, zones=4) as deployment:
+            owner = await Caller.to(deployment.gateways[0])
+            owner.command(*COMMIT)
+            assert await owner.answer() == b"done r1"
+            kept = {n: (await work_of(deployment.gateways[n]))["kept_for"] for n in (1, 2, 3)}
+            (keeper,) = [number for number, told in kept.items() if told]
+            deployment.gateways[0].process.kill()
+            await deployment.gateways[0].process.wait()
+            while (await work_of(deployment.gateways[keeper]))["peers"]["g0"] != "dead":
+                await asyncio.sleep(0.01)
+            deployment.do("stop", (keeper,))
+            assert await deployment.gateways[keeper].process.wait() == 0
+            for number in {1, 2, 3} - {keeper}:
+                other = await Caller.to(deployment.gateways[number])
+                other.command(*back(COMMIT))
+                assert await other.answer() == b"done r1"
+            assert came(deployment) == 1
+
+    run(scenario, 90)
+
+
+def test_a_fleet_that_is_restarted_one_by_one_under_load(tmp_path: Path) -> None:
+    """Each stops as an operator has it and starts again; nothing is lost, told twice, late or run twice."""
+
+    async def scenario() -> None:
+        async with fleet(tmp_path, 4, rate=80, takeover=True, zones=2, edit=patiently) as deployment:
+            play = asyncio.ensure_future(deployment.play(12.0))
+            for number in range(4):
+                gateway = deployment.gateways[number]
+                deployment.do("stop", (number,))
+                assert await gateway.process.wait() == 0
+                again = await deployment.start_again(number)
+                await until(lambda again=again: again.gate.up)  # type: ignore[misc]
+            await play
+            await deployment.front.settle(10)
+            clean(deployment)
+            assert deployment.ledger.total("served") > 200
+
+    run(scenario, 90)
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import os
 import signal
-from collections.abc import AsyncIterator
+import time
+from collections.abc import AsyncIterator, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -14,12 +16,12 @@
 from lynxreel.local.deployment import Deployment, Gateway
 from lynxreel.standins.faults import Fault, Kind
 from tests.fleet import Caller, run
-from tests.test_work_in_hand import COMMIT, added, back, came, patiently, until
+from tests.test_work_in_hand import COMMIT, added, back, came, news_of, patiently, until
 
 
 @contextlib.asynccontextmanager
 async def wired(
-    folder: Path, gateways: int = 3, lease: int = 200
+    folder: Path, gateways: int = 3, lease: int = 200, env: Mapping[str, str] | None = None
 ) -> AsyncIterator[tuple[Deployment, Cluster]]:
     """Instances whose links can fail, with a word in a stand-in etcd."""
     cluster = Cluster()
@@ -30,7 +32,9 @@
         word = f"[takeover]\nword = true\nlease_ms = {lease}\nwait_ms = 100\n"
         return patiently(by_etcd(text)).replace("[takeover]\n", word)
 
-    deployment = Deployment(folder, gateways, 50.0, 1, 6, edit, takeover=True, zones=gateways, wires=True)
+    deployment = Deployment(
+        folder, gateways, 50.0, 1, 6, edit, env, takeover=True, zones=gateways, wires=True
+    )
     starting = asyncio.ensure_future(deployment.start())
     try:
         while len(deployment.boxes) < 6:
@@ -201,3 +205,40 @@
             assert came(deployment) == 1
 
     run(scenario)
+
+
+CLOCKS = """\
+import sys, time
+words, real, born = " ".join(sys.orig_argv), time.time_ns, time.monotonic()
+def moved():
+    jump = -3_000_000_000 if "g1.toml" in words and time.monotonic() - born > 1.5 else 0
+    return real() + (2_000_000_000 if "g0.toml" in words else 0) + jump
+time.time_ns, time.time = moved, lambda: moved() / 1e9
+"""
+
+
+def test_clocks_that_are_two_seconds_apart_and_one_that_jumps(tmp_path: Path) -> None:
+    """What they are set to says nothing of who may act: a stopped owner is followed, once."""
+
+    async def scenario() -> None:
+        (tmp_path / "clocks").mkdir()
+        (tmp_path / "clocks" / "sitecustomize.py").write_text(CLOCKS)
+        env = {"PYTHONPATH": f"{tmp_path / 'clocks'}:{os.environ.get('PYTHONPATH', '')}"}
+        async with wired(tmp_path, env=env) as (deployment, cluster):
+            await ready(deployment)
+            apart = (await news_of(deployment.gateways[0]))["at"] - time.time()
+            assert 1.0 < apart < 3.0  # else the clocks are not what they are meant to be
+            await asyncio.sleep(1.5)
+            deployment.counter_faults.on(Fault(Kind.SLOW, delay=0.4))
+            callers = [await Caller.to(gateway) for gateway in deployment.gateways]
+            callers[0].command(*COMMIT)
+            await until(lambda: added(deployment, 77) >= 2.0)
+            await asyncio.sleep(0.05)
+            deployment.gateways[0].process.send_signal(signal.SIGSTOP)
+            callers[1].command(*back(COMMIT))
+            assert await callers[1].answer() == b"done r1"
+            deployment.gateways[0].process.send_signal(signal.SIGCONT)
+            assert await callers[0].answer() == b"done r1"
+            assert (came(deployment), added(deployment, 77)) == (1, 2.0)
+
+    run(scenario)
