--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -154,3 +154,28 @@
             assert deployment.ledger.total("served") > 200
 
     run(scenario, 90)
+
+
+@pytest.mark.parametrize(("memory", "told", "runs"), [(5_000, b"done r1", 2), (300, b"-UNKNOWN", 1)])
+def test_an_effect_by_key_is_sent_again_while_boxes_drop_repeats(
+    tmp_path: Path, memory: int, told: bytes, runs: int
+) -> None:
+    """Under the key that it had; later than that it is told as unknown."""
+
+    def by_key(text: str) -> str:
+        return text.replace('effect = "once"', f'effect = "by_key"\nkey_memory_ms = {memory}')
+
+    async def scenario() -> None:
+        async with fleet(tmp_path, 3, takeover=True, zones=3, edit=by_key) as deployment:
+            deployment.box_faults.on(Fault(Kind.SLOW, delay=0.2))
+            call = [*COMMIT[:3], f"{COMMIT[3]},k=key-1", "body"]
+            owner, other, _ = [await Caller.to(gateway) for gateway in deployment.gateways]
+            owner.command(*call)
+            await until(lambda: came(deployment) == 1)
+            deployment.gateways[0].process.kill()
+            await asyncio.sleep(0.1)
+            other.command(*back(call))
+            assert (await other.answer()).startswith(told)
+            assert came(deployment) == runs
+
+    run(scenario)
