News of the list in time at any fleet's size: a second watch beside a silent one

At fault: backoff.py's wait, 0.05 s for each gateway of the fleet, and platform.py's _Watch, which drops the silent watch first.

Changed: sources/freshness.py decides without I/O which watches are open: a second one beside a silent one after 2.5 s, the old one left when that tells; an agent (lists pushed) is called each 0.25 s whatever the fleet's size, a service as before, within askWithinUs. sources/objects.py reads objects across line breaks. Servers._write is the one gate before the first byte; an attempt that is connecting when its server leaves ends as not sent at once, and counts for none of those allowed (rules.py, engine.py).

--- a/lynxreel/backends/pools.py
+++ b/lynxreel/backends/pools.py
@@ -249,7 +249,7 @@
         self.idle: list[Connection] = []  # the last used at the end, so that the others can idle out
         self.all: set[Connection] = set()
         self.silent = 0  # attempts given up since anything came from it
-        self.stop_at: int | None = None  # nothing new may be written from then on
+        self.leaving = False  # it drains or is gone: nothing new may be written
 
     def take(self, safe: bool) -> Connection | None:
         """An idle connection that an attempt can go on: the last used of those that have settled."""
@@ -269,7 +269,7 @@
 
     def give(self, connection: Connection) -> None:
         """A connection carries nothing any more."""
-        if self.stop_at is not None or connection.home != self.home:
+        if self.leaving or connection.home != self.home:
             connection.drop()
         elif connection in self.all:
             connection.idle_since = self.servers.loop.time()
@@ -322,21 +322,22 @@
         for member, address in lines:
             named.add(member.server)
             pool = self._pools.setdefault(member.server, Pool(self))
-            if pool.home != (address, member.started_at):
-                pool.home = (address, member.started_at)
-                pool.drop_idle(self.loop.time())
-            if member.state is State.READY:
-                pool.stop_at = None
-            else:
-                self._stop(pool)
+            home = (address, member.started_at)
+            if pool.home != home or (member.state is not State.READY and not pool.leaving):
+                pool.home = home
+                self._turn_off(member.server, pool)
+            pool.leaving = member.state is not State.READY
         if whole:
             for name in self._pools.keys() - named:
-                self._stop(self._pools[name])
-
-    def _stop(self, pool: Pool) -> None:
-        if pool.stop_at is None:
-            pool.stop_at = self._engine.clock.now() + self._settings.safety.drain_grace
-            pool.drop_idle(self.loop.time())
+                self._pools[name].leaving = True
+                self._turn_off(name, self._pools[name])
+
+    def _turn_off(self, name: str, pool: Pool) -> None:
+        """What has not begun to be sent there goes elsewhere, at once."""
+        pool.drop_idle(self.loop.time())
+        for attempt in [attempt for attempt in self._connects if attempt.server == name]:
+            self._connects.pop(attempt).cancel()
+            self.end(attempt, Result.NOT_SENT)
 
     def send(self, attempt: Attempt, timeout: int) -> None:
         """Start an attempt, on an idle connection or a new one."""
@@ -345,6 +346,8 @@
         pool = self._pools.get(attempt.server)
         if pool is None:
             self.end(attempt, Result.CONNECT_FAILED)
+        elif pool.leaving:
+            self.end(attempt, Result.NOT_SENT)  # a connection would come up for nothing
         elif (connection := pool.take(self._safe[attempt.call.cls])) is not None:
             self._write(attempt, connection, timeout)
         elif not self._room():
@@ -377,9 +380,7 @@
             raise
         finally:
             self._connects.pop(attempt, None)
-        now = self._engine.clock.now()
-        if not connection.usable() or (pool.stop_at is not None and now >= pool.stop_at):
-            # It did not come up, or only when the drain's grace was over: nothing may be written now.
+        if not connection.usable():
             connection.drop()
             self.end(attempt, result)
             return
@@ -389,9 +390,18 @@
             pool.give(connection)
             self.end(attempt, Result.NOT_SENT)
         else:
-            self._write(attempt, connection, deadline - now)
+            self._write(attempt, connection, deadline - self._engine.clock.now())
 
     def _write(self, attempt: Attempt, connection: Connection, wait: int) -> None:
+        """The one way to a server. Nothing new goes to one that is known to drain, to be gone or elsewhere.
+
+        Guards the drain's grace: it may have begun before this process read of the drain. The decision module
+        chooses again at once.
+        """
+        if connection.pool.leaving or connection.home != connection.pool.home:
+            connection.drop()
+            self.end(attempt, Result.NOT_SENT)
+            return
         self._out[attempt] = (self._out[attempt][0], connection)
         connection.carry(attempt, wait)
 
@@ -443,14 +453,14 @@
         """Look for idle connections, and for servers that are gone and have nothing out any more."""
         self.drop_idle(self.loop.time())
         for name, pool in list(self._pools.items()):
-            if pool.stop_at is not None and self._engine.clock.now() > pool.stop_at and not pool.all:
+            if pool.leaving and not pool.all:
                 del self._pools[name]
         self.loop.call_later(SWEEP, self._sweep)
 
     @property
     def named(self) -> bool:
         """There is a server that may be sent something new."""
-        return any(pool.stop_at is None for pool in self._pools.values())
+        return any(not pool.leaving for pool in self._pools.values())
 
     def view(self) -> list[dict[str, object]]:
         """Each server, for the operators."""
@@ -458,7 +468,7 @@
             {
                 "id": name,
                 "address": "{}:{}".format(*pool.home[0]),
-                "state": "ready" if pool.stop_at is None else "draining",
+                "state": "draining" if pool.leaving else "ready",
                 "connections": len(pool.all),
             }
             for name, pool in self._pools.items()
--- a/lynxreel/config/deploy.py
+++ b/lynxreel/config/deploy.py
@@ -68,6 +68,7 @@
         units_top=limits.largest_units,
         report_fields=boxes.load_report,
         report_by_probe=boxes.load_report_by_probe,
+        ask_for_list=not boxes.discovery_agent,
     )
     names = Names(
         classes={c.name: class_places[c.name] for c in file.classes},
--- a/lynxreel/config/model.py
+++ b/lynxreel/config/model.py
@@ -108,6 +108,9 @@
     """Where the list of servers comes from, and how they are to be treated."""
 
     discovery: Address | None = None
+    discovery_agent: bool = Field(
+        default=False, description="discovery is an agent of this machine's own: it is called again at once"
+    )
     file: str = Field(default="", description="a watched file in place of discovery")
     etcd: Etcd | None = None
     most_removed: float = Field(default=0.5, gt=0, le=1, description="of those serving, unasked")
--- a/lynxreel/engine/engine.py
+++ b/lynxreel/engine/engine.py
@@ -140,6 +140,7 @@
     until: int  # when the client gives up, as told to the module
     deadline: asyncio.TimerHandle
     attempts: int = 0
+    unsent: int = 0  # of these, that count for nothing, as no byte of them went out
     out: int = 0  # attempts that have not ended
     over: bool = False  # answered or left, but the module has not been told yet
 
@@ -239,6 +240,7 @@
         attempt.over = True
         self._out.pop((attempt.request, attempt.number), None)
         attempt.held.out -= 1
+        attempt.held.unsent += result is api.Result.NOT_SENT
         if self.watch is not None:
             self.watch.ended(attempt, result)
         if result is api.Result.OK and (closed := self._close(attempt.request, "served")) is not None:
@@ -326,7 +328,8 @@
         held = self._open[action.request]
         number = held.attempts
         held.attempts += 1
-        if held.over or number >= self._settings.limits.max_attempts:
+        most = self._settings.limits.max_attempts
+        if held.over or number - min(held.unsent, most) >= most:
             moot = api.Outcome(action.request, number, action.server, api.Result.NOT_SENT, 0, held.over)
             self.post(moot)
             return
--- a/lynxreel/node.py
+++ b/lynxreel/node.py
@@ -19,7 +19,7 @@
 from lynxreel.peers.datagrams import Peers
 from lynxreel.protocol.address import Address
 from lynxreel.relay.budget import Budget
-from lynxreel.sources.backoff import Backoff
+from lynxreel.sources.freshness import Terms as ListTerms
 from lynxreel.sources.platform import NOWHERE, Discovery
 from mothgap.interface import ClockShift, ListKind, Member, Members, Settings, State
 from mothgap.settings import Names
@@ -81,7 +81,7 @@
     ) -> None:  # fmt: skip
         """`doors`: where the fronts' listeners come from; they open them by themselves by default."""
         self.deployment, self._loop = deployment, loop
-        self._backoff = Backoff(deployment.settings.fleet_size, random.Random(seed))
+        self._chance = random.Random(seed)
         self.engine = Engine(deployment.settings, seed, loop, clock)
         servers, clients = self._parts(deployment.sockets)
         settings, names = deployment.settings, deployment.names
@@ -134,11 +134,19 @@
 
         return Http()
 
+    @staticmethod
+    def _list_terms(settings: Settings) -> ListTerms:
+        """Lists that are pushed lie at an agent on this machine; others have to be asked for."""
+        agent, within = not settings.ask_for_list, settings.safety.ask_within / 1e6
+        return ListTerms(agent, settings.fleet_size, within)
+
     def _source(
         self, place: Address | FileList | EtcdList, version: int
     ) -> Discovery | WatchedFile | EtcdSource:
         if isinstance(place, tuple):
-            return Discovery(place, version, self.deployment.names, self._news, self._loop, self._backoff)
+            terms = self._list_terms(self.deployment.settings)
+            return Discovery(
+                place, version, self.deployment.names, self._news, self._loop, terms, self._chance)
         return place.source(self._published, self._loop)
 
     def _published(self, news: Publish) -> None:
@@ -311,7 +319,7 @@
             if self.web is not None and deployment.http is not None:
                 self.web.adopt(deployment.http.serving)
             if isinstance(self.source, Discovery) and isinstance(deployment.discovery, tuple):
-                self.source.adopt(names, settings.fleet_size)
+                self.source.adopt(names, self._list_terms(settings))
                 self.source.move(deployment.discovery)
             self.deployment = deployment
             gone = [address for address in before if address not in deployment.listen]
--- a/lynxreel/sources/backoff.py
+++ b/lynxreel/sources/backoff.py
@@ -11,24 +11,17 @@
 
 
 class Backoff:
-    """Waits that grow with each failure in a row and with the fleet, drawn by chance.
+    """Waits that grow with each failure in a row, drawn by chance."""
 
-    Guards a service that turns calls away when it has too many: the instances of a fleet that lost it
-    together would else come back together, as often as they can, and keep it from ever answering. Growing
-    alone does not do, as all would grow alike; chance alone does not, as their calls come to the same number
-    in all; and what each does harmlessly in a fleet of four is ten times as much in a fleet of forty.
-    """
-
-    def __init__(self, fleet: int, chance: random.Random) -> None:
-        """`fleet`: instances that call the same service."""
+    def __init__(self, first: float, most: float, chance: random.Random) -> None:
+        """`first` and `most`: seconds of the mean wait after one failure, and after many."""
         self._chance = chance
         self._failures = 0
-        self.adopt(fleet)
+        self.adopt(first, most)
 
-    def adopt(self, fleet: int) -> None:
-        """The fleet has so many instances from now on."""
-        self._first = min(LONGEST, max(LEAST_FIRST, FIRST * fleet))
-        self._most = min(LONGEST, max(LEAST_MOST, MOST * fleet))
+    def adopt(self, first: float, most: float) -> None:
+        """Go by these means from now on; failures in a row go on counting."""
+        self._first, self._most = first, max(first, most)
 
     def wait(self) -> float:
         """Seconds until the next call, one more having failed: half to one and a half times the mean."""
@@ -39,3 +32,21 @@
     def worked(self) -> None:
         """A call was answered as it should be."""
         self._failures = 0
+
+
+def shared(fleet: int, ask_within: float = 0.0) -> tuple[float, float]:
+    """Mean waits, first and longest, in seconds, for a service that `fleet` instances call.
+
+    Guards a service that turns calls away when it has too many: the instances of a fleet that lost it
+    together would else come back together, as often as they can, and keep it from ever answering. Growing
+    alone does not do, as all would grow alike; chance alone does not, as their calls come to the same number
+    in all; and what each does harmlessly in a fleet of four is ten times as much in a fleet of forty.
+
+    `ask_within`: seconds in which an instance has to have asked, and in four times of which again where that
+    failed; 0 where nobody says so. Both waits stay within it, at their longest, with room for a call.
+    """
+    first = min(LONGEST, max(LEAST_FIRST, FIRST * fleet))
+    most = min(LONGEST, max(LEAST_MOST, MOST * fleet))
+    if ask_within > 0:
+        first, most = min(first, 0.3 * ask_within), min(most, 2.0 * ask_within)
+    return first, most
--- a/lynxreel/sources/platform.py
+++ b/lynxreel/sources/platform.py
@@ -1,10 +1,10 @@
-"""The list of servers: the watch on discovery, and its reconnects."""
+"""The list of servers: the watches on discovery, as sockets; `freshness` decides when they are opened."""
 
 from __future__ import annotations
 
 import asyncio
-import json
 import math
+import random
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -12,13 +12,13 @@
 
 from lynxreel.log import log
 from lynxreel.protocol.address import Address, read_address
-from lynxreel.sources.backoff import Backoff
+from lynxreel.sources.freshness import Action, Close, End, Freshness, Open, Terms
+from lynxreel.sources.objects import Objects
 from mothgap.interface import ListKind, Member, Members, State
 from mothgap.settings import Names
 
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
-SILENT = 5.0  # seconds: over two of the watch's heartbeats
-MOST_LINE = 4 * 1024 * 1024  # bytes of one line; more is no list
+CONNECT = 5.0  # seconds in which a connection comes up, or the call has failed
 NOWHERE: Address = ("", 0)
 UNREADABLE = (ArithmeticError, AttributeError, KeyError, TypeError, ValueError)  # what odd JSON leads to
 News = Callable[[Members, list[tuple[Member, Address]]], None]
@@ -63,77 +63,72 @@
 class _Watch(asyncio.Protocol):
     """One watch, until its connection ends."""
 
-    def __init__(self, discovery: Discovery) -> None:
-        self._discovery = discovery
+    def __init__(self, discovery: Discovery, number: int) -> None:
+        self._discovery, self.number = discovery, number
         self._http = h11.Connection(h11.CLIENT)
-        self._line = b""
-        self._timer: asyncio.TimerHandle | None = None
-        self.transport: asyncio.Transport | None = None
-        self.ended = discovery.loop.create_future()
+        self._objects = Objects()
+        self.version = discovery.version  # of the last line
+        self._transport: asyncio.Transport | None = None
+        self._ended = False
+        self._task = discovery.loop.create_task(self._connect(discovery.address))
 
-    def itself(self) -> _Watch:
-        """The protocol for its connection."""
-        return self
+    async def _connect(self, address: Address) -> None:
+        try:
+            async with asyncio.timeout(CONNECT):
+                await self._discovery.loop.create_connection(lambda: self, *address)
+        except OSError as wrong:  # a time-out is one, too
+            self._end(End.UNREACHED, str(wrong))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Ask for what changed after the version at hand."""
-        transport = cast(asyncio.Transport, transport)
-        self.transport = transport
-        target = f"/v1/servers?watch=1&from={self._discovery.version}"
+        self._transport = transport = cast(asyncio.Transport, transport)
+        if self._ended:
+            transport.abort()
+            return
+        self.version = self._discovery.version
+        target = f"/v1/servers?watch=1&from={self.version}"
         host = ":".join(map(str, self._discovery.address))
         request = h11.Request(method="GET", target=target, headers=[("Host", host)])
         transport.write((self._http.send(request) or b"") + (self._http.send(h11.EndOfMessage()) or b""))
-        self._heard()
-
-    def _heard(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer = self._discovery.loop.call_later(SILENT, self.drop)
 
     def data_received(self, data: bytes) -> None:
-        """Lines of JSON, empty ones as heartbeats; anything else ends the watch."""
-        self._heard()
+        """Objects in JSON, and empty lines as heartbeats; anything else ends the watch."""
+        self._discovery.decide.bytes(self.number, self._discovery.loop.time())
         try:
             self._http.receive_data(data)
-            while True:
+            while not self._ended:
                 event = self._http.next_event()
                 if event is h11.NEED_DATA:
                     break
                 if isinstance(event, h11.Response) and event.status_code != 200:
-                    raise ValueError(f"status {event.status_code}")
-                if isinstance(event, h11.EndOfMessage | h11.ConnectionClosed) or event is h11.PAUSED:
-                    self.drop()
-                    break
-                if isinstance(event, h11.Data):
-                    self._read(bytes(event.data))
+                    self._end(End.TURNED_AWAY, f"status {event.status_code}")
+                elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed) or event is h11.PAUSED:
+                    self._end(End.LOST)
+                elif isinstance(event, h11.Data):
+                    for read in self._objects.feed(bytes(event.data)):
+                        self._discovery.take(self, read)
         except (h11.RemoteProtocolError, RecursionError, *UNREADABLE) as wrong:
-            log(f"discovery sent what is no watch: {wrong!r}")
-            self.drop()
-
-    def _read(self, data: bytes) -> None:
-        *lines, self._line = (self._line + data).split(b"\n")
-        for line in lines:
-            if line.strip():
-                self._discovery.take(json.loads(line))
-        if len(self._line) > MOST_LINE:
-            raise ValueError("a line without an end")
-
-    def drop(self) -> None:
-        """Close: silent for too long, over, or garbage."""
-        if self.transport is not None:
-            self.transport.abort()
+            self._end(End.SPOILT, repr(wrong))
+
+    def _end(self, how: End, why: str = "") -> None:
+        if not self._ended:
+            self.close()
+            self._discovery.ended(self, how, why)
+
+    def close(self) -> None:
+        """Nothing that it tells counts any more."""
+        self._ended = True
+        self._task.cancel()
+        if self._transport is not None:
+            self._transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Over; another follows."""
-        self.transport = None
-        if self._timer is not None:
-            self._timer.cancel()
-        if not self.ended.done():
-            self.ended.set_result(None)
+        """Over."""
+        self._end(End.LOST, "" if error is None else str(error))
 
 
 class Discovery:
-    """Keeps one watch open."""
+    """The list, kept by watches on discovery."""
 
     def __init__(
         self,
@@ -142,55 +137,81 @@
         names: Names,
         news: News,
         loop: asyncio.AbstractEventLoop,
-        backoff: Backoff,
+        terms: Terms,
+        chance: random.Random,
     ) -> None:
         self.loop = loop
-        self._backoff = backoff
+        self.decide = Freshness(terms, chance)
         self.version = version
         self.told = asyncio.Event()  # something has been heard since the start
         self.address, self._names, self._news = address, names, news
-        self._watch: _Watch | None = None
-        self._task = loop.create_task(self._keep())
+        self._watches: dict[int, _Watch] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._tick()
 
-    def adopt(self, names: Names, fleet: int) -> None:
-        """Read kinds and zones by these names from now on; the fleet has so many instances."""
+    def adopt(self, names: Names, terms: Terms) -> None:
+        """Read kinds and zones by these names from now on, and call by these terms."""
         self._names = names
-        self._backoff.adopt(fleet)
+        self.decide.adopt(terms)
+        self._tick()
 
     def move(self, address: Address) -> None:
-        """Watch at another address, from the version at hand. The old watch tells on until that one is up."""
+        """Watch at another address, from the version at hand. The old watch tells on until one there does."""
         if address == self.address:
             return
         self.address = address
-        self._backoff.worked()  # nothing has failed there
-        self._task.cancel()
-        self._task = self.loop.create_task(self._keep())
-
-    def take(self, data: Any) -> None:
-        """One line of the watch."""
-        members, lines = read_list(data, self._names)
-        self.version = members.version
-        if lines or members.kind is ListKind.FULL:
-            self._news(members, lines)
-        self.told.set()
-        self._backoff.worked()
-
-    async def _keep(self) -> None:
-        while True:
-            watch = _Watch(self)
-            try:
-                async with asyncio.timeout(SILENT):
-                    await self.loop.create_connection(watch.itself, *self.address)
-                before, self._watch = self._watch, watch
-                if before is not None:
-                    before.drop()
-                await watch.ended
-            except OSError:  # a time-out is one, too
-                watch.drop()
-            await asyncio.sleep(self._backoff.wait())
+        self._follow(self.decide.moved(self.loop.time()))
+        self._tick()
+
+    def take(self, watch: _Watch, data: Any) -> None:
+        """One whole line of a watch: a part of the list, or None for a sign of life.
+
+        A whole list replaces what is known. Changes up to a version that is known already tell nothing new:
+        an older watch has told them. Changes that go back on their own watch come from a service that has
+        begun to count anew: what it has is asked for from the beginning. Raises one of `UNREADABLE` where the
+        line is no list.
+        """
+        if data is not None:
+            members, lines = read_list(data, self._names)
+            whole = members.kind is ListKind.FULL
+            if not whole and members.version < watch.version:
+                self.version = 0
+                raise ValueError(f"version {members.version} after {watch.version}")
+            watch.version = members.version
+            if whole or members.version >= self.version:
+                self.version = members.version
+                if lines or whole:
+                    self._news(members, lines)
+            self.told.set()
+        self._follow(self.decide.heard(watch.number, self.loop.time()))
+        self._tick()
+
+    def ended(self, watch: _Watch, how: End, why: str) -> None:
+        """A watch has ended by itself."""
+        self._watches.pop(watch.number, None)
+        self._follow(self.decide.ended(watch.number, how, self.loop.time(), why))
+        self._tick()
+
+    def _tick(self) -> None:
+        """Do what is due, and come back when something is."""
+        self._follow(self.decide.tick(self.loop.time()))
+        if self._timer is not None:
+            self._timer.cancel()
+        due = self.decide.due()
+        self._timer = None if due is None else self.loop.call_at(due, self._tick)
+
+    def _follow(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Open):
+                self._watches[action.watch] = _Watch(self, action.watch)
+            elif isinstance(action, Close):
+                self._watches.pop(action.watch).close()
+            else:
+                log(action.text)
 
     def close(self) -> None:
         """The end of the process."""
-        self._task.cancel()
-        if self._watch is not None:
-            self._watch.drop()
+        if self._timer is not None:
+            self._timer.cancel()
+        for watch in self._watches.values():
+            watch.close()
--- a/mothgap/interface.py
+++ b/mothgap/interface.py
@@ -41,7 +41,7 @@
     CONNECT_FAILED = "connect failed"  # never reached the server
     RESET = "reset"  # the connection broke; it may have run
     CANCELLED = "cancelled"  # called off by this gateway; it may have run
-    NOT_SENT = "not sent"  # the request was over, or out of attempts
+    NOT_SENT = "not sent"  # no byte went out: the request was over, or out of attempts, or the server leaving
 
     @property
     def never_ran(self) -> bool:
--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -213,7 +213,7 @@
     """A request that is owed its final answer."""
 
     __slots__ = ("added", "aim_at", "asks", "attempts", "cls", "customer", "deadline", "held", "live", "ran",
-                 "request")
+                 "request", "unsent")
 
     def __init__(self, request: Request, cls: RequestClass, customer: _Customer, now: int) -> None:
         self.request, self.cls, self.customer = request, cls, customer
@@ -224,6 +224,7 @@
         self.held = True  # waiting for its total
         self.added = 0.0  # what was added to the count for it
         self.asks = 0  # gateways asked for a part of the ceiling
+        self.unsent = 0  # attempts that count for nothing, as no byte of them went out
 
 
 class Gateway:
@@ -917,7 +918,7 @@
         """Start the next attempt, or end the request where there is none to make."""
         job.held = False
         until_aim = job.aim_at - self._now - self._s.tick
-        if job.attempts >= self._s.limits.max_attempts or until_aim <= self._s.tick:
+        if job.attempts - job.unsent >= self._s.limits.max_attempts or until_aim <= self._s.tick:
             self._end(job, Cause.ATTEMPTS if job.attempts else Cause.NO_TIME)
             return
         server = self._choose(job, avoid)
@@ -929,7 +930,8 @@
     def _send(self, job: _Job, server: _Server) -> None:
         left, until_aim = job.deadline - self._now, job.aim_at - self._now - self._s.tick
         timeout = left if job.cls.late_worth > 0 else min(left, until_aim)
-        repeatable = job.cls.effect is not Effect.ONCE and job.attempts + 1 < self._s.limits.max_attempts
+        spent, most = job.attempts - job.unsent, self._s.limits.max_attempts
+        repeatable = job.cls.effect is not Effect.ONCE and spent + 1 < most
         if repeatable and not job.ran and not job.live:  # a further one has what is left
             if self._s.limits.may_cancel:
                 delay = max(int(until_aim * FIRST_SPLIT), self._hush(job))
@@ -968,6 +970,8 @@
         if job is None:
             return
         live = job.live.pop(event.attempt, None)
+        if event.result is Result.NOT_SENT and job.unsent < self._s.limits.max_attempts:
+            job.unsent += 1  # its server was leaving, say; not without end where this gateway has no room
         if event.final or not job.live:  # a second copy may be out still; the request is not
             job.customer.open = max(0, job.customer.open - 1)
         if event.final:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -69,6 +69,23 @@
     assert sends < 60 + 10 + 60 * 0.2
 
 
+def test_an_attempt_of_which_no_byte_went_out_is_none_of_those_that_are_allowed() -> None:
+    # Its server began to leave while it was being connected to.
+    driver = Driver(replace(SETTINGS, limits=replace(SETTINGS.limits, max_attempts=2)))
+    send = driver.admitted()
+    for result in (Result.NOT_SENT, Result.NOT_SENT, Result.ERROR):
+        assert kinds(driver.outcome(send.request, result)) == ["Send"]
+    assert kinds(driver.outcome(send.request, Result.ERROR)) == ["Refuse"]
+
+
+def test_a_gateway_that_can_send_nothing_gives_a_request_up() -> None:
+    driver = Driver(replace(SETTINGS, limits=replace(SETTINGS.limits, max_attempts=2)))
+    send = driver.admitted()
+    for _ in range(3):
+        assert kinds(driver.outcome(send.request, Result.NOT_SENT)) == ["Send"]
+    assert kinds(driver.outcome(send.request, Result.NOT_SENT)) == ["Refuse"]
+
+
 def test_a_draining_server_gets_nothing_new() -> None:
     driver = Driver(servers=2)
     driver.members(replace(line(1), state=State.DRAINING))
