Discovery that gives no answer is told once; a test's discovery answers

A process whose discovery accepts and says nothing left no line. The freshness core tells it once, until a watch tells something again.

--- a/lynxreel/sources/freshness.py
+++ b/lynxreel/sources/freshness.py
@@ -125,7 +125,7 @@
         for watch, trial in list(self._trials.items()):
             if now >= trial.since + self._patience:
                 del self._trials[watch]
-                actions.append(Close(watch))
+                actions += [Close(watch), *self._tell("discovery gives no answer")]
                 if self._next is None:
                     self._again(now)
         idle = self._current is not None and not self._trials and self._next is None
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -90,12 +90,13 @@
         with start(tmp_path, json.dumps(config(*ports))) as process:
             watch, _ = discovery.accept()
             assert watch.recv(4096).startswith(b"GET /v1/servers?watch=1&from=41 HTTP/1.1\r\n")
+            watch.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
             with watch, connect(ports[2], process) as client:
                 client.sendall(b"*1\r\n$4\r\nPING\r\n")
                 assert client.recv(64) == b"+PONG\r\n"
                 process.send_signal(signal.SIGTERM)
                 assert client.recv(64) == b""  # closed as it is idle
-            assert process.wait(timeout=30) == 0
+                assert process.wait(timeout=30) == 0
             assert process.communicate() == (b"", b"")
 
 
