--- a/lynxreel/peers/datagrams.py
+++ b/lynxreel/peers/datagrams.py
@@ -12,7 +12,8 @@
 from mothgap.interface import PeerMessage
 
 MOST = 256  # bytes of a datagram; a longer one is none of a gateway's
-MOST_HEARD = 200  # datagrams a second that are looked at; more are no gateways, or one that has gone mad
+LEAST_HEARD = 200  # datagrams a second that are looked at; more are no gateways, or one that has gone mad
+EACH_HEARD = 5  # the same for each gateway on the list, where that comes to more
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -27,6 +28,7 @@
         self._numbers = {address: n for n, address in enumerate(self._addresses) if n != index}
         self._transport: asyncio.DatagramTransport | None = None
         self._second, self._heard = 0, 0
+        self._most = max(LEAST_HEARD, EACH_HEARD * len(self._addresses))
         self.dropped = {"stranger": 0, "too long": 0, "too many": 0, "not sent": 0}  # datagrams, by cause
 
     async def open(self, listen: Address, beside: bool = False) -> None:
@@ -59,7 +61,7 @@
             self.dropped["stranger"] += 1
         elif len(data) > MOST:
             self.dropped["too long"] += 1
-        elif self._heard >= MOST_HEARD:
+        elif self._heard >= self._most:
             self.dropped["too many"] += 1
         else:
             self._heard += 1
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -138,6 +138,71 @@
     assert ["can't be read" in text for text in said] == [True, True]
 
 
+async def beside(peer: Peer) -> None:
+    """The first watch has told version 42 and is silent; another is open beside it."""
+    await peer.answer(HEAD + chunk(line(42)))
+    while len(peer.writers) < 2:
+        await peer.hear()
+
+
+def test_changes_that_another_watch_has_told_are_not_told_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
+        await beside(peer)
+        peer.writers[0].write(chunk(line(43, lifecycle="DRAINING")) + chunk(line(44)))
+        assert [(await told.get())[0].version for _ in range(3)] == [42, 43, 44]
+        # The other one goes on from 42: the drain, which has been taken back since, comes late there.
+        peer.writers[1].write(HEAD + chunk(line(43, lifecycle="DRAINING")) + chunk(line(45)))
+        assert (await told.get())[0].version == 45
+
+    monkeypatch.setattr(freshness, "QUIET", 0.05)
+    play(scenario, AGENT)
+
+
+def test_a_service_that_counts_anew_is_asked_from_the_beginning(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
+        await peer.answer(HEAD + chunk(line(77)) + chunk(line(3, lifecycle="DRAINING")))
+        while (heard := (await peer.hear())[1]) == b"":
+            pass
+        assert b"from=0 " in heard
+        peer.writers[-1].write(HEAD + chunk(line(3, lifecycle="DRAINING")))
+        assert [(await told.get())[0].version for _ in range(2)] == [77, 3]
+        assert watch.version == 3
+
+    play(scenario, AGENT)
+
+
+def test_a_move_calls_the_new_place_at_once_though_a_call_to_the_old_one_waits(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
+        await beside(peer)
+        async with Peer() as other:
+            watch.move((LOCAL, other.port))
+            assert b"from=42 " in await asyncio.wait_for(other.answer(HEAD + chunk(line(43))), 2)
+            versions = [(await told.get())[0].version for _ in range(2)]
+            assert versions == [42, 43]
+            watch.close()
+
+    monkeypatch.setattr(freshness, "QUIET", 0.05)
+    monkeypatch.setattr(freshness, "SPREAD", 0.0)
+    play(scenario)  # a service: a call may wait there for 5 s
+
+
+def test_a_list_may_come_indented_and_be_cut_anywhere_and_be_longer_than_one_read() -> None:
+    async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
+        entries = json.loads(line(42))["instances"] * 1_024
+        whole = {"generation": 50, "reset": True, "instances": entries}
+        text = json.dumps(whole, indent=3).replace("\n", "\r\n").encode()
+        assert len(text) > 3 * (1 << 16)
+        await peer.answer(HEAD + chunk(text[:7]))
+        for at in range(7, len(text), 4_001):
+            peer.writers[0].write(chunk(text[at : at + 4_001]))
+        members, _ = await told.get()
+        assert (members.kind, members.version, len(members.members)) == (ListKind.FULL, 50, 1_024)
+
+    play(scenario)
+
+
 def test_one_that_is_gone_needs_no_address() -> None:
     async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
         await peer.answer(HEAD + chunk(line(44, lifecycle="DELETED", hostPort="")))
