--- a/lynxreel/standins/registry.py
+++ b/lynxreel/standins/registry.py
@@ -1,4 +1,8 @@
-"""A stand-in for the platform's discovery: the list of boxes over HTTP, and a watch on it."""
+"""A stand-in for the platform's discovery: the list of boxes over HTTP, and a watch on it.
+
+Faults beside those of a script: open watches fall silent or are reset, and it is away for a while, in which
+it takes calls and says nothing. What it was asked then is never answered.
+"""
 
 from __future__ import annotations
 
@@ -32,6 +36,8 @@
         self.boxes: dict[str, Entry] = {}
         self._log: list[tuple[int, list[Entry]]] = []  # what changed with each generation
         self.watchers: set[_RegistryLink] = set()
+        self.away = False
+        self.indent: int | None = None  # of what it tells; None: an object is a line
         self.faults, self.clock = faults, clock
         self.listener = Listener("discovery", faults, clock, lambda listener: _RegistryLink(listener, self))
 
@@ -44,8 +50,25 @@
             else:
                 self.boxes[box["instanceId"]] = box
         self._log.append((self.generation, list(entries)))
+        if not self.away:
+            for watcher in list(self.watchers):
+                watcher.catch_up()
+
+    def hush(self) -> None:
+        """All watches that are open fall silent for good, and stay open."""
+        for watcher in list(self.watchers):
+            watcher.hush()
+
+    def cut(self) -> None:
+        """All watches that are open are reset."""
         for watcher in list(self.watchers):
-            watcher.tell(self._message(False, list(entries)))
+            watcher.reset()
+
+    def come_back(self) -> None:
+        """It is not away any more: open watches are told what they have missed."""
+        self.away = False
+        for watcher in list(self.watchers):
+            watcher.catch_up()
 
     def set(self, number: str, lifecycle: str) -> None:
         """Change one box's lifecycle."""
@@ -53,7 +76,7 @@
 
     def _message(self, reset: bool, entries: list[Entry]) -> bytes:
         told = {"generation": self.generation, "reset": reset, "instances": entries}
-        return json.dumps(told).encode() + b"\n"
+        return json.dumps(told, indent=self.indent).encode() + b"\n"
 
     def whole(self) -> bytes:
         """The whole list."""
@@ -76,6 +99,7 @@
         self._registry = registry
         self._http = h11.Connection(h11.SERVER)
         self._beat: asyncio.TimerHandle | None = None
+        self._told = 0  # the generation up to which its watch has been told
 
     def data_received(self, data: bytes) -> None:
         """One request."""
@@ -94,7 +118,7 @@
         kind = fault.kind if fault is not None else None
         target = urlsplit(request.target.decode("latin-1"))
         asked = parse_qs(target.query)
-        if kind is Kind.SILENT:
+        if kind is Kind.SILENT or registry.away:
             return
         if kind is Kind.RESET:
             self.reset()
@@ -112,19 +136,32 @@
             self._send(h11.Response(status_code=200, headers=[("Transfer-Encoding", "chunked")]))
             self._registry.watchers.add(self)
             given = asked.get("from", ["0"])[0]
-            self.tell(self._registry.since(int(given) if given.isdigit() else 0))
+            self._told = int(given) if given.isdigit() else 0
+            self.catch_up()
             return
         body = self._registry.whole()
         self._send(h11.Response(status_code=200, headers=[("Content-Length", str(len(body)))]))
         self._send(h11.Data(data=body))
         self.transport.close()
 
-    def tell(self, line: bytes) -> None:
+    def catch_up(self) -> None:
+        """Tell what it does not know yet."""
+        self._tell(self._registry.since(self._told))
+        self._told = self._registry.generation
+
+    def hush(self) -> None:
+        """Say nothing any more."""
+        self._registry.watchers.discard(self)
+        if self._beat is not None:
+            self._beat.cancel()
+
+    def _tell(self, line: bytes) -> None:
         """A line of the watch, or an empty one as a sign of life."""
-        self._send(h11.Data(data=line))
+        if not self._registry.away:
+            self._send(h11.Data(data=line))
         if self._beat is not None:
             self._beat.cancel()
-        self._beat = asyncio.get_running_loop().call_later(BEAT, self.tell, b"\n")
+        self._beat = asyncio.get_running_loop().call_later(BEAT, self._tell, b"\n")
 
     def _send(self, event: h11.Event) -> None:
         if not self.transport.is_closing():
@@ -133,6 +170,4 @@
     def connection_lost(self, error: Exception | None) -> None:
         """The watcher has gone."""
         super().connection_lost(error)
-        self._registry.watchers.discard(self)
-        if self._beat is not None:
-            self._beat.cancel()
+        self.hush()
