Each guard of a move of discovery is caught by a test of its own

Two tests now: the new place is called at once while the old watch is well, and waits begin anew there.

--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -223,20 +223,26 @@
     assert core.current == first.watch
 
 
-def test_a_move_calls_the_new_place_at_once_and_with_short_waits() -> None:
+def opened(core: Freshness, now: float) -> int:
+    (watch,) = [action.watch for action in core.tick(now) if isinstance(action, Open)]
+    return watch
+
+
+def test_a_move_calls_the_new_place_at_once() -> None:
     core = Freshness(Terms(agent=False, fleet=40), random.Random(3))
-    now = 0.0
-    for _ in range(6):
-        (call,) = [action for action in core.tick(now) if isinstance(action, Open)]
-        core.ended(call.watch, End.TURNED_AWAY, now)
+    core.heard(opened(core, 0.0), 0.1)
+    assert core.moved(1.0) == [] and core.current == 1  # it tells on until one there does
+    assert core.due() == 1.0
+    assert Close(1) in core.heard(opened(core, 1.0), 1.1)
+
+
+def test_waits_begin_anew_at_a_new_place() -> None:
+    core, now = Freshness(Terms(agent=False, fleet=40), random.Random(3)), 0.0
+    for failures in range(7):
+        core.ended(opened(core, now), End.TURNED_AWAY, now)
         due = core.due()
         assert due is not None
+        assert failures < 6 or due - now <= 1.5 * FIRST * 40
         now = due
-    core.heard(call.watch, now)
-    core.moved(now)
-    assert core.due() == now
-    (call,) = core.tick(now)
-    assert isinstance(call, Open)
-    core.ended(call.watch, End.TURNED_AWAY, now)
-    due = core.due()
-    assert due is not None and due - now <= 1.5 * FIRST * 40  # nothing has failed there before
+        if failures == 5:
+            core.moved(now)
