One back-off for etcd and for discovery's watches

Need: the sources wait by one mechanism. etcd's list-then-watch had a doubling of its own, drawn from nothing up to its top; it goes by `Backoff` now (lynxreel/backoff.py, moved out of sources, as etcd/ may not import them), half to one and a half of the same mean.

--- a/lynxreel/etcd/listwatch.py
+++ b/lynxreel/etcd/listwatch.py
@@ -23,6 +23,8 @@
 from enum import Enum
 from random import Random
 
+from lynxreel.backoff import Backoff
+
 
 @dataclass(frozen=True, slots=True)
 class Header:
@@ -116,8 +118,8 @@
 
     answer: float = 3.0  # for a list to go on, a stream to open, or to tell its progress
     idle: float = 2.0  # without a word after which a stream is asked for its progress
-    again: float = 0.05  # the longest first wait before trying again; each failure doubles it...
-    again_top: float = 2.0  # ...up to this
+    again: float = 0.025  # the mean wait before trying again; each failure in a row doubles it...
+    again_top: float = 1.0  # ...up to this
     doubt: float = 30.0  # after which an endpoint that goes against what is known is taken, if alone
     spread: float = 0.2  # over which a fleet spreads its lists after a compaction
 
@@ -145,7 +147,7 @@
         self._list_next = True
         self._due = 0.0
         self._asked = False
-        self._failures = 0
+        self._backoff = Backoff(times.again, times.again_top, random)
         self._parts: list[Change] = []  # of a revision that is not whole yet
         self._odd: set[int] = set()  # endpoints that went against what is known
         self._odd_since = 0.0
@@ -168,7 +170,7 @@
             self._odd.add(self.endpoint)
             why = f"endpoint {self.endpoint} {self._why(header)}: the others are asked first"
             self._next()
-            waiting = self._rest(now, self._times.again_top / 2, listing=True)
+            waiting = self._rest(now, self._times.again_top, listing=True)
             return [Said(why), *waiting] if fresh else waiting
         told = []
         if self._against(header):
@@ -197,7 +199,7 @@
         if self._against(header):
             return [Said(f"endpoint {self.endpoint} {self._why(header)}"), *self._list(now)]
         self._hear(now)
-        self._failures = 0
+        self._backoff.worked()
         self._parts += [change for change in changes if change.revision > self.revision]
         if more or not self._parts:
             return [Alive()]
@@ -210,7 +212,7 @@
         if self._against(header):
             return [Said(f"endpoint {self.endpoint} {self._why(header)}"), *self._list(now)]
         self._hear(now)
-        self._failures = 0
+        self._backoff.worked()
         if not self._parts:
             self.revision = max(self.revision, header.revision)
         return [Alive()]
@@ -223,12 +225,10 @@
 
     def failed(self, now: float, why: str) -> list[Action]:
         """What was under way has ended: another endpoint is next, after a while."""
-        top = min(self._times.again_top, self._times.again * 2**self._failures)
-        self._failures += 1
         told = Said(f"endpoint {self.endpoint}: {why}")
         drop = Drop(self.endpoint)
         self._next()
-        return [told, drop, *self._rest(now, self._random.uniform(0, top), listing=self._list_next)]
+        return [told, drop, *self._rest(now, self._backoff.wait(), listing=self._list_next)]
 
     # --- time -------------------------------------------------------------------------------------------
 
--- a/lynxreel/sources/freshness.py
+++ b/lynxreel/sources/freshness.py
@@ -22,7 +22,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from lynxreel.sources.backoff import Backoff, shared
+from lynxreel.backoff import Backoff, shared
 
 QUIET = 2.5  # seconds without a whole line: a sign of life comes every 2 s
 OFTEN = 0.25  # seconds between calls to an agent that does not answer: half of the usual grace for a drain
--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -3,7 +3,7 @@
 import heapq
 import random
 
-from lynxreel.sources.backoff import LEAST_MOST, LONGEST, MOST, Backoff, shared
+from lynxreel.backoff import LEAST_MOST, LONGEST, MOST, Backoff, shared
 
 PATIENCE = 2.0  # seconds that a call waits for its turn
 EACH = 0.2  # seconds of work for a call: the service bears 5 a second, and its queue one call for each
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lynxreel.sources.backoff import FIRST, LONGEST
+from lynxreel.backoff import FIRST, LONGEST
 from lynxreel.sources.freshness import OFTEN, QUIET, WAITS, Close, End, Freshness, Open, Said, Terms
 
 BEAT = 2.0  # seconds between signs of life
