--- a/lynxreel/local/deployment.py
+++ b/lynxreel/local/deployment.py
@@ -4,30 +4,33 @@
 
 import asyncio
 import itertools
+import math
 import os
 import signal
 import socket
 import sys
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import IO
 
 from lynxreel.daemon.place import Place
 from lynxreel.local import files, web
+from lynxreel.local.night import Deed
 from lynxreel.standins import traffic, world
 from lynxreel.standins.base import Clock, Listener
 from lynxreel.standins.box import Box, BoxLink, Resp2Link, open_boxes
 from lynxreel.standins.clients import Front, Gate
 from lynxreel.standins.counter import Counter
-from lynxreel.standins.faults import Faults
+from lynxreel.standins.faults import Fault, Faults
 from lynxreel.standins.ledger import Ledger
-from lynxreel.standins.registry import Registry, entry
+from lynxreel.standins.registry import Entry, Registry, entry
 from lynxreel.standins.wire import Wire
 
 # Gateways have a loopback address of their process's own: on 127.0.0.1 any connection that is made between
 # the drawing of a port and its use may take that port for itself.
 HOST = f"127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}.1"
+LIFECYCLES = {"leave": "DRAINING", "gone": "DELETED", "serve": "SERVING"}
 ASKS = {"drain": signal.SIGUSR1, "reload": signal.SIGHUP, "stop": signal.SIGTERM, "kill": signal.SIGKILL}
 
 
@@ -71,6 +74,8 @@
         self.counter = Counter(self.counter_faults, clock)
         self.registry = Registry(self.registry_faults, clock)
         self.boxes: list[Box] = []
+        self._entries: dict[str, Entry] = {}  # of the boxes, as they are listed at first
+        self.left: dict[str, float] = {}  # when a box was announced as leaving
         self._box_count, self._clock = boxes or files.boxes_for(rate), clock
         self.gateways: list[Gateway] = []
         self._http, self._link, self._workers = http, link, workers
@@ -93,7 +98,8 @@
         self.boxes = await open_boxes(
             self._box_count, self.seed, world.WORK, self.ledger, faults, clock, link=self._link
         )
-        self.registry.put(*[entry(box.name, box.listener.address) for box in self.boxes])
+        self._entries = {box.name: entry(box.name, box.listener.address) for box in self.boxes}
+        self.registry.put(*self._entries.values())
         # Held until all are drawn, so that no two gateways are given the same port.
         fronts = 1 + self._http + self._takeover
         holders = [socket.create_server((HOST, 0)) for _ in range(self.count * fronts)]
@@ -216,6 +222,50 @@
                 gateway.asked = what
             gateway.process.send_signal(ASKS[what])
 
+    async def act(self, deed: Deed) -> None:
+        """Do it, and undo it when its span is over."""
+        if deed.do in ASKS:
+            self.do(deed.do, deed.gateways)
+        elif deed.do == "restart":
+            await asyncio.gather(*(self.restart(number) for number in deed.gateways))
+        elif deed.do in LIFECYCLES:
+            self.announce(deed.boxes, LIFECYCLES[deed.do])
+        elif deed.do == "freeze":
+            held = [gateway.process for gateway in self.gateways if gateway.number in deed.gateways]
+            for number in (signal.SIGSTOP, signal.SIGCONT):
+                for process in held:
+                    if process.returncode is None:
+                        process.send_signal(number)
+                await asyncio.sleep(deed.span if number is signal.SIGSTOP else 0.0)
+        elif deed.do == "list-silent":
+            self.registry.hush()
+        elif deed.do == "list-reset":
+            self.registry.cut()
+        else:
+            self.registry.away = True
+            await asyncio.sleep(deed.span)
+            self.registry.come_back()
+
+    def announce(self, boxes: Iterable[str], lifecycle: str) -> None:
+        """Tell of some boxes, at one stroke."""
+        at = asyncio.get_running_loop().time()
+        self.registry.put(*[{**self._entries[name], "lifecycle": lifecycle} for name in boxes])
+        for name in boxes:
+            self.left[name] = at if lifecycle != "SERVING" else math.inf
+
+    def after_leaving(self) -> float:
+        """Seconds from an announcement that a box leaves to the last request that came to it."""
+        spans = [at - self.left[box.name] for box in self.boxes if box.name in self.left for at in box.came]
+        return max(0.0, *spans) if spans else 0.0
+
+    def strike(self, faults: Iterable[tuple[str, Fault]]) -> None:
+        """Switch faults on, by place; their times count from now."""
+        places = {"boxes": self.box_faults, "counter": self.counter_faults, "list": self.registry_faults,
+                  "wires": self.wire_faults}  # fmt: skip
+        now = self._clock.now()
+        for place, fault in faults:
+            places[place].on(replace(fault, at=fault.at + now))
+
     async def stop(self, seconds: float = 20.0) -> None:
         """Stop what still runs, as an operator would; kill what has not ended in time."""
         self.do("stop", tuple(g.number for g in self.gateways if g.code is None and not g.asked))
--- a/lynxreel/local/run.py
+++ b/lynxreel/local/run.py
@@ -24,6 +24,8 @@
 
 from lynxreel.local import web
 from lynxreel.local.deployment import Deployment
+from lynxreel.local.files import boxes_for
+from lynxreel.local.night import Deed, Night, read_night
 from lynxreel.local.script import Step, script
 from lynxreel.standins.box import Resp2Link
 from lynxreel.standins.http_box import HttpLink
@@ -46,6 +48,7 @@
     parser.add_argument("--reload", type=int, default=0, help="reloads of random gateways")
     parser.add_argument("--takeover", action="store_true", help="work in hand outlives its gateway")
     parser.add_argument("--zones", type=int, default=1, help="of gateways, in turn")
+    parser.add_argument("--faults", type=Path, help="what goes wrong and when: docs/running-a-fleet.md")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--report", type=Path, help="write the books to this file, as JSON")
     parser.add_argument("--folder", type=Path, help="for operator files, logs and records")
@@ -68,6 +71,7 @@
         "latency_ms": {"p50": front.percentile(0.5), "p99": front.percentile(0.99)},
         "worst_lag_ms": round(front.lag * 1e3),
         "steps": [{"at": round(s.at, 3), "what": s.what, "gateways": list(s.gateways)} for s in steps],
+        "after_leaving_ms": round(deployment.after_leaving() * 1e3),
         "held": len(front.losses),
         "back": dict(Counter(loss.how or "in vain" for loss in front.losses)),
         "ends": ends,
@@ -126,14 +130,29 @@
             last = now
 
 
-async def _steps(deployment: Deployment, steps: list[Step]) -> None:
-    born = asyncio.get_running_loop().time()
-    for step in steps:
-        await asyncio.sleep(max(0.0, born + step.at - asyncio.get_running_loop().time()))
-        deployment.do(step.what, step.gateways)
+async def _steps(deployment: Deployment, steps: list[Step], night: Night) -> None:
+    deployment.strike(night.faults)
+    drawn = [Deed(step.at, step.what, step.gateways) for step in steps]
+    await asyncio.gather(*(_deed(deployment, deed) for deed in (*drawn, *night.deeds)))
 
 
-async def play(args: argparse.Namespace, folder: Path) -> int:
+async def _deed(deployment: Deployment, deed: Deed) -> None:
+    await asyncio.sleep(deed.at)
+    await deployment.act(deed)
+
+
+def read_faults(args: argparse.Namespace) -> Night:
+    """What the file says. Raises ValueError, which names the place, or OSError."""
+    if args.faults is None:
+        return Night()
+    boxes = args.boxes or boxes_for(args.rate)
+    try:
+        return read_night(json.loads(args.faults.read_text()), args.gateways, boxes, args.takeover)
+    except ValueError as wrong:
+        raise ValueError(f"{args.faults}: {wrong}") from None
+
+
+async def play(args: argparse.Namespace, folder: Path, night: Night) -> int:
     """The whole command."""
     console = Console(stderr=True)
     steps = script(args.seed, args.seconds, args.gateways, args.kill, args.drain, args.reload)
@@ -141,7 +160,7 @@
     link = HttpLink if args.http_boxes else Resp2Link
     deployment = Deployment(
         folder, args.gateways, args.rate, args.seed, args.boxes, http=http, link=link, workers=args.workers,
-        takeover=args.takeover, zones=args.zones,
+        takeover=args.takeover, zones=args.zones, wires=args.takeover and args.faults is not None,
     )  # fmt: skip
     loop = asyncio.get_running_loop()
     ended = asyncio.Event()
@@ -152,7 +171,7 @@
         if not args.quiet:
             console.print(f"operator files, logs and records are in {folder}")
         tasks = [loop.create_task(deployment.play(args.seconds or 1e9))]
-        others = [loop.create_task(_steps(deployment, steps))]
+        others = [loop.create_task(_steps(deployment, steps, night))]
         if not args.quiet:
             others.append(loop.create_task(_show(deployment, console)))
         tasks.append(loop.create_task(_wait(ended)))
@@ -186,9 +205,10 @@
     """Run it; 1 where a rule was broken, 2 where the words make no sense."""
     try:
         script(args.seed, args.seconds, args.gateways, args.kill, args.drain, args.reload)
+        night = read_faults(args)
         if args.takeover and (args.workers or args.zones < 1):
             raise ValueError("--takeover goes without --workers, and with one zone at least")
-    except ValueError as wrong:
+    except (ValueError, OSError) as wrong:
         print(f"lynxreel local: {wrong}", file=sys.stderr)
         return 2
     with contextlib.ExitStack() as stack:
@@ -196,4 +216,4 @@
         if folder is None:
             folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="lynxreel-")))
         folder.mkdir(parents=True, exist_ok=True)
-        return uvloop.run(play(args, folder))
+        return uvloop.run(play(args, folder, night))
