A stopped owner that comes back gives no units back for what another may have sent on

At fault: engine.py acted on every Count of the module, also on those that go with a refusal whose answer the cover holds back. The engine asks its watch first; without the right to act the add is not made, and the module hears that its answer was lost.

--- a/lynxreel/engine/engine.py
+++ b/lynxreel/engine/engine.py
@@ -80,6 +80,9 @@
     def ended(self, attempt: Attempt, result: api.Result) -> None:
         """An attempt has ended."""
 
+    def sure(self, request: int) -> bool:
+        """No other instance may have gone on with it, so that its units are this one's to give back."""
+
 
 class Backend(Protocol):
     """Where attempts go."""
@@ -269,8 +272,17 @@
                 event = queue.popleft()
                 try:
                     actions = self._module.handle(self.clock.now(), event)
+                    unsure = self.watch is not None and any(
+                        not self.watch.sure(action.request)
+                        for action in actions
+                        if isinstance(action, api.Refuse | api.Fail)
+                    )
                     for action in actions:
-                        self._act(action)
+                        if unsure and isinstance(action, api.Count) and action.amount < 0:
+                            # As if it had been given back and the answer lost: the next total tells.
+                            self.post(api.Counted(action.name, api.Result.RESET, 0, 0.0))
+                        else:
+                            self._act(action)
                     if self.watch is not None and isinstance(event, api.Request):
                         self._tell_counted(event.id, actions)
                 except Exception:  # one request's trouble must not end the process
--- a/lynxreel/takeover/cover.py
+++ b/lynxreel/takeover/cover.py
@@ -215,6 +215,11 @@
         if result.never_ran:
             self.work.missed(attempt.call.id, attempt.number)
 
+    def sure(self, request: int) -> bool:
+        """No other instance may have gone on with it, so that its units are this one's to give back."""
+        covered = self._covered.get(request)
+        return covered is None or not covered.accepted or self.work.may(self._now(), covered.id)
+
     def send(self, attempt: Attempt, timeout: int) -> None:
         """Start an attempt, as soon as that is down where it has to be."""
         call, now = attempt.call, self._now()
