An agent that answers with a head alone is called again beside that

Read in the code: the head of an answer counted as part of a line, so that no other call was made for a second. An agent that takes a call while discovery is away may say that much and no more; the news of the return would have been a second old. Only what follows the head counts now.

--- a/lynxreel/sources/freshness.py
+++ b/lynxreel/sources/freshness.py
@@ -166,7 +166,7 @@
             self._next = at
 
     def bytes(self, watch: int, now: float) -> None:
-        """Part of a line, or of what comes before the first."""
+        """Part of a line; the head of an answer tells nothing yet."""
         if (trial := self._trials.get(watch)) is not None:
             trial.since, trial.speaks = now, True
 
--- a/lynxreel/sources/platform.py
+++ b/lynxreel/sources/platform.py
@@ -93,7 +93,6 @@
 
     def data_received(self, data: bytes) -> None:
         """Objects in JSON, and empty lines as heartbeats; anything else ends the watch."""
-        self._discovery.decide.bytes(self.number, self._discovery.loop.time())
         try:
             self._http.receive_data(data)
             while not self._ended:
@@ -105,6 +104,7 @@
                 elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed) or event is h11.PAUSED:
                     self._end(End.LOST)
                 elif isinstance(event, h11.Data):
+                    self._discovery.decide.bytes(self.number, self._discovery.loop.time())
                     for read in self._objects.feed(bytes(event.data)):
                         self._discovery.take(self, read)
         except (h11.RemoteProtocolError, RecursionError, *UNREADABLE) as wrong:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -188,6 +188,16 @@
     play(scenario)  # a service: a call may wait there for 5 s
 
 
+def test_an_agent_that_answers_with_a_head_alone_is_called_again_beside_that() -> None:
+    async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
+        await peer.answer(HEAD)
+        assert b"from=41 " in (await peer.hear())[1]  # and not the end of the first one
+        peer.writers[0].write(chunk(line(42)))
+        assert (await told.get())[0].version == 42
+
+    play(scenario, AGENT)
+
+
 def test_a_list_may_come_indented_and_be_cut_anywhere_and_be_longer_than_one_read() -> None:
     async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
         entries = json.loads(line(42))["instances"] * 1_024
