Six in ten replaced within seven seconds, watches silent once: none late over processes

Need: the last of the hard cases of news in time without a test. Four gateways of a fleet of 230; one box leaves and one comes every 1.1 s, all watches fall silent once; each box has its own moment from which its leaving counts.

--- a/tests/test_news_in_time.py
+++ b/tests/test_news_in_time.py
@@ -159,3 +159,35 @@
     scenario: Scenario, gateways: int, indent: int | None, tmp_path: Path
 ) -> None:
     hold(scenario, tmp_path, gateways, indent)
+
+
+def test_six_in_ten_are_replaced_within_seven_seconds_and_watches_fall_silent_once(tmp_path: Path) -> None:
+    """One leaves and one comes at a time; each that leaves has its own moment from which that counts."""
+
+    async def play() -> None:
+        async with fleet(tmp_path, 4, 200.0, boxes=16, edit=of_fleet(230)) as deployment:
+            registry, told = deployment.registry, {}
+            fresh = [f"box-{n}" for n in range(10, 16)]
+            entries = dict(registry.boxes)
+            registry.put(*[{**entries[name], "lifecycle": "DELETED"} for name in fresh])
+            load = asyncio.ensure_future(deployment.play(60.0))
+            await asyncio.sleep(0.7)
+            for number, name in enumerate(fresh):
+                if number == 2:
+                    registry.hush()
+                    fell = now()
+                registry.put({**entries[f"box-{number}"], "lifecycle": "DRAINING"}, entries[name])
+                told[f"box-{number}"] = now() if number < 2 else max(now(), fell + SILENCE - 2.0)
+                await asyncio.sleep(1.1)
+            await asyncio.sleep(max(0.0, max(told.values()) + GRACE - now()) + 0.7)
+            load.cancel()
+            await deployment.front.settle(5.0)
+            boxes = {box.name: box.came for box in deployment.boxes}
+            late = [at - when for name, when in told.items() for at in boxes[name] if at > when + GRACE]
+            assert not late, "seconds after the leaving counted"
+            assert all(boxes[name] for name in told)
+            assert any(boxes[name] for name in fresh)  # those that came serve
+            report = deployment.ledger.report()
+            assert {what: report[what] for what in BROKEN} == dict.fromkeys(BROKEN, 0)
+
+    run(play)
