The etcd burst test begins once each box that will go has had work

Seen: the check on a clean machine failed in one of its runs, at assert deployment.boxes[victim].came, with an empty list: one of twenty boxes was taken out of the list 0.1 s after fifty requests had been served, before it had had any. The claim under test (nothing new arrives 0.2 s after the deletion) was not touched by it.

Change: the burst begins once all six boxes that will be deleted have had a request, by event and not by count.

--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -170,7 +170,8 @@
         cluster = Cluster()
         async with by_etcd(tmp_path, cluster, boxes=20, rate=300.0) as deployment:
             play, draw = asyncio.ensure_future(deployment.play(4.0)), random.Random(5)
-            await served(deployment, 50)
+            while not all(box.came for box in deployment.boxes[:6]):  # each that will go has had work before
+                await asyncio.sleep(0.01)
             boxes, gone = listed(deployment), dict[int, float]()
             for number in range(500):
                 if number % 80 == 40:
