Work of a lost gateway: its quota is looked at, and a doubtful owner gives nothing back

Need: two holes of work in hand. (1) A successor carried a request on whose add had had no answer yet without a look at its quota. (2) On a crowded counter an owner that had been stopped gave its units back with its customer's next add (_settle's owed), which the filter on Count actions in the engine did not see.

Change: (1) a request that is counted and was never sent asks the counter for the total with an add of nothing, and is judged by it less its own units. (2) The module learns Unsure(request): the engine tells it, before anything is handled, for which requests another instance may have gone on; their units are not settled, however the counter is doing. That replaces Expired.moved and the filter on Count actions.

Over processes, killed with the add out and the quota used up by others: told as -BUSY, nothing runs, units go back; it ran before. 122 tests of takeovers and metering pass.

--- a/lynxreel/engine/engine.py
+++ b/lynxreel/engine/engine.py
@@ -7,6 +7,7 @@
 import time
 import traceback
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
@@ -80,8 +81,11 @@
     def ended(self, attempt: Attempt, result: api.Result) -> None:
         """An attempt has ended."""
 
-    def sure(self, request: int) -> bool:
-        """No other instance may have gone on with it, so that its units are this one's to give back."""
+    def unsure(self) -> Iterable[tuple[int, bool]]:
+        """Requests with which another instance may have gone on since the last call, or may not any more.
+
+        Their units are not, or are again, this one's to give back.
+        """
 
 
 class Backend(Protocol):
@@ -203,7 +207,9 @@
     def gone(self, request: int, moved: bool = False) -> None:
         """The client has left. `moved`: another gateway has its request, with the units that it took."""
         if self._close(request, "left") is not None:
-            self.post(api.Expired(request, moved))
+            if moved:
+                self.post(api.Unsure(request, True))
+            self.post(api.Expired(request))
 
     def adopt(self, settings: api.Settings) -> None:
         """Go by other settings. Classes and plans keep their places, as `NewSettings` says."""
@@ -267,22 +273,16 @@
     def _work(self) -> None:
         """Hand the queued events to the module. What it adds to the queue meanwhile has the next turn."""
         self._scheduled = False
+        if self.watch is not None:  # known before any of them is refused
+            for request, unsure in self.watch.unsure():
+                self._module.handle(self.clock.now(), api.Unsure(request, unsure))
         for queue in (self._news, self._events):
             for _ in range(len(queue)):
                 event = queue.popleft()
                 try:
                     actions = self._module.handle(self.clock.now(), event)
-                    unsure = self.watch is not None and any(
-                        not self.watch.sure(action.request)
-                        for action in actions
-                        if isinstance(action, api.Refuse | api.Fail)
-                    )
                     for action in actions:
-                        if unsure and isinstance(action, api.Count) and action.amount < 0:
-                            # As if it had been given back and the answer lost: the next total tells.
-                            self.post(api.Counted(action.name, api.Result.RESET, 0, 0.0))
-                        else:
-                            self._act(action)
+                        self._act(action)
                     if self.watch is not None and isinstance(event, api.Request):
                         self._tell_counted(event.id, actions)
                 except Exception:  # one request's trouble must not end the process
--- a/lynxreel/takeover/cover.py
+++ b/lynxreel/takeover/cover.py
@@ -81,6 +81,8 @@
         self._fresh: dict[int, Covered] = {}  # those that no keeper has been told of, by token
         self._covered: dict[int, Covered] = {}  # by the engine's number
         self._by_id: dict[bytes, Covered] = {}
+        self._lapsed: frozenset[str] = frozenset()  # keepers whose right had ended at the last look
+        self._unsure: set[int] = set()  # what could not be acted on then
         self._held: dict[tuple[bytes, int], tuple[Attempt, int]] = {}  # attempts, and when their time is over
         self._timer: asyncio.TimerHandle | None = None
         self._due: int | None = None
@@ -215,10 +217,19 @@
         if result.never_ran:
             self.work.missed(attempt.call.id, attempt.number)
 
-    def sure(self, request: int) -> bool:
-        """No other instance may have gone on with it, so that its units are this one's to give back."""
-        covered = self._covered.get(request)
-        return covered is None or not covered.accepted or self.work.may(self._now(), covered.id)
+    def unsure(self) -> Iterable[tuple[int, bool]]:
+        """Requests with which another instance may have gone on since the last call, or may not any more.
+
+        No work is put at a keeper whose right has ended: there is nothing new while no other's has.
+        """
+        lapsed = self.work.lapsed(self._now())
+        if lapsed == self._lapsed and not self._unsure:
+            return ()
+        self._lapsed, before, now = lapsed, self._unsure, self._now()
+        open_now = (covered for covered in self._covered.values() if covered.accepted)
+        self._unsure = {covered.request for covered in open_now if not self.work.may(now, covered.id)}
+        changed = [(request, False) for request in before - self._unsure]
+        return changed + [(request, True) for request in self._unsure - before]
 
     def send(self, attempt: Attempt, timeout: int) -> None:
         """Start an attempt, as soon as that is down where it has to be."""
--- a/lynxreel/takeover/rights.py
+++ b/lynxreel/takeover/rights.py
@@ -110,6 +110,12 @@
         held = self._held.get(keeper)
         return held is not None and now < held.until
 
+    def lapsed(self, now: int) -> frozenset[str]:
+        """Keepers whose right has ended; with a lease of 0, none."""
+        if not self.lease:
+            return frozenset()
+        return frozenset([name for name, held in self._held.items() if now >= held.until])
+
     def count(self, now: int) -> int:
         """Keepers whose right holds."""
         return sum(now < held.until for held in self._held.values())
--- a/lynxreel/takeover/work.py
+++ b/lynxreel/takeover/work.py
@@ -413,6 +413,10 @@
         own = self.own.get(number)
         return own is None or (not own.taken and self._may(now, own))
 
+    def lapsed(self, now: int) -> frozenset[str]:
+        """Keepers whose right to act on what they keep has ended; none where only the dead are followed."""
+        return self._rights.lapsed(now)
+
     # --- clients that come back -------------------------------------------------------------------------
 
     def back(self, now: int, token: int, number: bytes, customer: int, effect: Effect) -> list[Action]:
--- a/mothgap/interface.py
+++ b/mothgap/interface.py
@@ -183,8 +183,8 @@
     first_entry: int = 0  # the first of them; the rest follow in order
     retry: bool = False  # marked by the client as a repeat
     # Of a lost gateway's, which this one goes on with:
-    counted: bool = False  # its units are on the counter
-    sent: bool = False  # they have been taken from that gateway's part of the ceiling, too
+    counted: bool = False  # its units are on the counter; whether there was room for them is to be seen
+    sent: bool = False  # it was sent on: there was, and they are off that gateway's part of the ceiling
 
 
 @dataclass(frozen=True, slots=True)
@@ -236,7 +236,14 @@
     """The client has left; nothing is owed for this request any more."""
 
     request: int
-    moved: bool = False  # another gateway has it, with the units that were counted
+
+
+@dataclass(frozen=True, slots=True)
+class Unsure:
+    """Another gateway may have gone on with this request: its units are not this one's to give back."""
+
+    request: int
+    unsure: bool  # false: they are again
 
 
 @dataclass(frozen=True, slots=True)
@@ -319,8 +326,8 @@
 
 
 Event: TypeAlias = (
-    Request | Outcome | Started | Counted | CountedLate | Expired | Members | Probed | PeerMessage | Timer
-    | NewSettings | ClockShift | Share
+    Request | Outcome | Started | Counted | CountedLate | Expired | Unsure | Members | Probed | PeerMessage
+    | Timer | NewSettings | ClockShift | Share
 )
 
 
--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -22,7 +22,7 @@
 from mothgap.interface import (
     Action, Cancel, Cause, ClockShift, Count, Counted, CountedLate, Effect, Event, Expired, Fail, Group,
     ListKind, Member, Members, NewSettings, Outcome, PeerMessage, Plan, Refuse, Request, RequestClass, Result,
-    Send, SetTimer, Settings, Share, State, Tell, Timer, Watch,
+    Send, SetTimer, Settings, Share, State, Tell, Timer, Unsure, Watch,
 )  # fmt: skip
 from mothgap.lending import LIFE, Ask, Give, Questions, held_back, in_set, read, write
 
@@ -213,7 +213,7 @@
     """A request that is owed its final answer."""
 
     __slots__ = ("added", "aim_at", "asks", "attempts", "cls", "customer", "deadline", "held", "live", "ran",
-                 "request", "unsent")
+                 "request", "unsent", "unsure")
 
     def __init__(self, request: Request, cls: RequestClass, customer: _Customer, now: int) -> None:
         self.request, self.cls, self.customer = request, cls, customer
@@ -225,6 +225,7 @@
         self.added = 0.0  # what was added to the count for it
         self.asks = 0  # gateways asked for a part of the ceiling
         self.unsent = 0  # attempts that count for nothing, as no byte of them went out
+        self.unsure = False  # another gateway may have gone on with it, with its units
 
 
 class Gateway:
@@ -291,6 +292,9 @@
                 self._on_members(event)
             case Expired():
                 self._on_expired(event)
+            case Unsure():
+                if (job := self._jobs.get(event.request)) is not None:
+                    job.unsure = event.unsure
             case PeerMessage():
                 self._on_peer(event)
             case ClockShift():
@@ -342,10 +346,10 @@
             self._end(job, Cause.CEILING)
         elif not self._room(self._rank(job, plan, hot)):
             self._end(job, Cause.ROOM)
-        elif request.counted:
+        elif request.counted and request.sent:
             self._borrow(job, plan)
             self._pass(job, plan)
-        elif plan.rate > 0 and self._s.counter is not None and self._no_room(job, plan):
+        elif not request.counted and plan.rate > 0 and self._s.counter and self._no_room(job, plan):
             # Known to have no room: its add would only be taken back, and repeats would swamp the counter.
             self._end(job, Cause.QUOTA)
         else:
@@ -363,7 +367,7 @@
             if self._now >= self._trial_at:
                 self._trial_at = self._now + TRIAL_EVERY * self._s.counter.time_limit
                 job.added = request.units
-                self._count(job, plan, None, job.added)
+                self._count(job, plan, None, 0.0 if request.counted else job.added)
             self._decide_alone(job, plan)
         else:
             share = self._calling
@@ -374,8 +378,10 @@
                 share *= ((customer.debt + request.units) / plan.burst / CALL_HALF) ** 2
             if self._random.random() < share:
                 # In a large fleet a customer may not come here again: this stands for those that pass.
-                job.added = request.units if hot or not self._seldom else request.units / share
-                self._count(job, plan, request.id, job.added)
+                # What a lost gateway has added is only looked at: nobody may have seen its total.
+                adds = request.units if hot or not self._seldom else request.units / share
+                job.added = job.added or adds
+                self._count(job, plan, request.id, 0.0 if request.counted else adds)
                 self._borrow(job, plan)
                 patience = self._patience_of(job)
                 if self._s.counter.time_limit > patience:
@@ -531,7 +537,7 @@
         plan = self._s.plans[job.request.plan]
         customer.debt = max(0.0, customer.debt - plan.rate * (self._now - customer.at) / SECOND)
         customer.at = self._now
-        customer.take(others)
+        customer.take(others - (job.request.units if job.request.counted else 0.0))  # others' but for its own
         customer.backlog += SMOOTH * (max(0.0, amount - job.added) - customer.backlog)
         over = not self._within(job, plan, job.request.units)
         customer.looks += 1.0
@@ -613,7 +619,7 @@
         On a crowded counter they are added with the next call for the customer.
         """
         plan = self._s.plans[job.request.plan]
-        if not job.added or plan.rate <= 0:  # its plan may have lost its quota meanwhile
+        if not job.added or plan.rate <= 0 or job.unsure:  # its plan may have lost its quota meanwhile
             return
         units *= job.added / job.request.units
         if self._calling >= 1.0 and self._failed < BREAKER_TRIP:
@@ -998,7 +1004,7 @@
         if job is not None and job in job.customer.waits:
             job.customer.waits.remove(job)
         if job is not None and job.attempts == 0:
-            self._settle(job, -job.request.units * (not event.moved))
+            self._settle(job, -job.request.units)
         elif job is not None and job.live:
             job.customer.open = max(0, job.customer.open - 1)
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -102,10 +102,12 @@
 
     def request(
         self, cls: int = REPEATABLE, plan: int = PLAIN, customer: int = CUSTOMER, units: float = 1.0,
-        time_left: int | None = None, entry_points: int = 1, retry: bool = False,
+        time_left: int | None = None, entry_points: int = 1, retry: bool = False, counted: bool = False,
+        sent: bool = False,
     ) -> list[Action]:
         left = self.settings.classes[cls].deadline if time_left is None else time_left
-        request = Request(self.next_id, cls, plan, customer, units, left, entry_points, retry=retry)
+        lost = {"counted": counted, "sent": sent}
+        request = Request(self.next_id, cls, plan, customer, units, left, entry_points, retry=retry, **lost)
         self.next_id += 1
         self.lives[request.id] = Life(request, self.now + left)
         return self.feed(request)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -220,30 +220,28 @@
     assert tried == list(range(2 * most))
 
 
-@pytest.mark.parametrize("sure", [True, False])
-def test_units_go_back_only_where_no_other_instance_may_have_gone_on(
-    sure: bool, monkeypatch: pytest.MonkeyPatch
+def test_what_another_instance_may_have_gone_on_with_is_told_before_what_ends_it(
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     class Watching:
         def counted(self, request: int) -> None: ...
         def ended(self, attempt: gateway.Attempt, result: api.Result) -> None: ...
-        def sure(self, request: int) -> bool:
-            return sure
+        def unsure(self) -> list[tuple[int, bool]]:
+            return [(1, True)] if gone.is_set() else []
 
-    def script(event: api.Event) -> Iterator[api.Action]:
-        if isinstance(event, api.Request):
-            yield api.Count(7, -2.0, 1_000)
-            yield api.Refuse(event.id, 0, api.Cause.QUOTA)
+    gone = asyncio.Event()
 
     async def scenario(engine: Engine, peer: Peer, ends: Ends) -> None:
         engine.watch = Watching()
         ends[1].write(call(1))
-        assert await ends[0].readline() == b"-BUSY\r\n"
+        await asyncio.sleep(0.02)
+        gone.set()
+        engine.gone(1)
         await asyncio.sleep(0)
 
-    events = play(monkeypatch, script, scenario)
-    told = [event for event in events if isinstance(event, api.Counted)]
-    assert told == [api.Counted(7, *((api.Result.OK, 0, -2.0) if sure else (api.Result.RESET, 0, 0.0)))]
+    events = play(monkeypatch, lambda event: iter(()), scenario)
+    told = [event for event in events if isinstance(event, api.Unsure | api.Expired)]
+    assert told[:2] == [api.Unsure(1, True), api.Expired(1)]
 
 
 def test_news_goes_before_requests_that_were_queued_earlier(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_meter.py
+++ b/tests/test_meter.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from mothgap.interface import Cause, Count, Counter, Outcome, Refuse, Result
-from tests.helpers import CEILING, MS, ONCE, REPEATABLE, SECOND, SETTINGS, Driver, kinds
+from mothgap.interface import Cause, Count, Counter, Outcome, Refuse, Result, Unsure
+from tests.helpers import CEILING, CUSTOMER, MS, ONCE, REPEATABLE, SECOND, SETTINGS, Driver, kinds
 
 
 def test_units_are_added_before_the_request_goes_on() -> None:
@@ -440,3 +440,45 @@
             driver.wait(10 * MS)
             driver.finish()
         assert len([a for a in driver.actions if isinstance(a, Count)]) < 36
+
+
+@pytest.mark.parametrize("crowded", [False, True])
+@pytest.mark.parametrize("unsure", [False, True])
+def test_units_of_what_another_gateway_may_have_gone_on_with_are_not_given_back(
+    crowded: bool, unsure: bool
+) -> None:
+    driver = Driver()
+    driver.request()
+    if crowded:
+        driver.request(customer=5)
+        driver.counted(result=Result.TIMEOUT, call=1)
+    driver.feed(Unsure(1, True))
+    driver.feed(Unsure(1, unsure))
+    driver.expire(1)
+    back = sum(a.amount for a in driver.actions if isinstance(a, Count) and a.amount < 0)
+    assert back + driver.gateway.believes(CUSTOMER)["owed"] == (0.0 if unsure else -1.0)
+
+
+def test_what_a_lost_gateway_had_added_is_looked_at_and_not_added_again() -> None:
+    driver = Driver()
+    assert kinds(driver.request(counted=True)) == ["Count"]
+    assert driver.calls[0].amount == 0.0
+    assert kinds(driver.counted(8.0)) == ["Send"]  # its own unit is one of the eight
+    driver.request(counted=True, customer=6)
+    actions = driver.counted(9.0)
+    assert [a.amount for a in actions if isinstance(a, Count)] == [-1.0]
+    assert kinds(actions)[-1] == "Refuse"
+    assert kinds(driver.request(counted=True, sent=True, customer=7)) == ["Send"]
+
+
+def test_what_a_lost_gateway_had_added_is_not_added_while_the_counter_is_away() -> None:
+    driver = Driver()
+    for customer in range(40):
+        driver.request(customer=customer, counted=True)
+        while driver.calls:
+            driver.counted(result=Result.TIMEOUT)
+        assert driver.gateway.believes(customer)["owed"] == 0.0
+        driver.wait(10 * MS)
+        driver.finish()
+    assert {a.amount for a in driver.actions if isinstance(a, Count)} == {0.0}
+    assert kinds(driver.actions).count("Send") > 30
--- a/tests/test_work_in_hand.py
+++ b/tests/test_work_in_hand.py
@@ -99,6 +99,29 @@
     run(scenario)
 
 
+def test_what_had_no_room_in_its_quota_is_not_carried_on(tmp_path: Path) -> None:
+    """Killed before it could read the total, which others had used up; its own units go back."""
+
+    async def scenario() -> None:
+        async with fleet(tmp_path, 3, takeover=True, edit=patiently) as deployment:
+            deployment.counter_faults.on(Fault(Kind.SLOW, delay=0.5))
+            owner, other, _ = [await Caller.to(gateway) for gateway in deployment.gateways]
+            owner.command(*COMMIT)
+            await until(lambda: added(deployment, 77) >= 2.0)
+            await asyncio.sleep(0.02)
+            deployment.gateways[0].process.kill()
+            assert await owner.answer() == b""
+            (name,) = [name for name in deployment.counter.added if int(name, 16) >> 24 == 77]
+            deployment.counter.bump(name, 1_000.0, 60_000)
+            deployment.counter_faults.off()
+            other.command(*back(COMMIT))
+            assert (await other.answer()).startswith(b"-BUSY")
+            await until(lambda: added(deployment, 77) == 1_000.0)
+            assert came(deployment) == 0
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("at", [0, 1])
 def test_an_effect_that_may_have_run_is_never_sent_again_and_its_end_is_told_as_unknown(
     tmp_path: Path, at: int
