Clients by HTTP come back for their requests, and Idempotency-Keys hold over instances

Need: work in hand outlived its gateway on the RESP2 front only; requests of boxes by HTTP had no form in which another instance could go on with them, and a key was known to one gateway (to one worker, where there are some).

Change: Lynxreel-Request names a request and Lynxreel-Back comes back for it, on the same core as back=1; a call by either front may be come back for by the other. What a box is asked over HTTP is packed into strings (pack, unpack), so that such requests are covered like others. Under an Idempotency-Key the likely keepers are asked first (Work.seek): their answer is replayed, another request under the key is 422, and where nobody answers within wait_ms it is begun.

--- a/lynxreel/engine/engine.py
+++ b/lynxreel/engine/engine.py
@@ -39,9 +39,11 @@
     counted: bool  # its units are on the counter already
     sent: bool  # and are taken from a part of its ceiling
     back: bool  # its client has asked for it before, under this id, and comes back
+    seeks: bool  # its client may have: it is begun where nobody is found to have it
+    mark: bytes  # of what is asked, where the id does not say all of it; empty: it does
 
-    def portable(self) -> tuple[bytes, ...] | None:
-        """The strings of its command, from which another instance can go on with it; None: it has none."""
+    def portable(self) -> tuple[bytes, ...]:
+        """The strings of its command, from which another instance can go on with it."""
 
     def command(self, wait: int) -> bytes:
         """The command for a server, which is told how many microseconds the gateway waits."""
@@ -49,8 +51,11 @@
     def exchange(self, wait: int) -> Exchange:
         """The same for a server that speaks HTTP."""
 
-    def served(self, value: bytes | Stream) -> None:
-        """Answer with a server's value; an `Answer` where that speaks HTTP, a `Stream` where it is large."""
+    def served(self, value: bytes | Stream, again: bool = False) -> None:
+        """Answer with a server's value; an `Answer` where that speaks HTTP, a `Stream` where it is large.
+
+        `again`: another request for the same has brought it.
+        """
 
     def refused(self, wait: int) -> None:
         """Answer that it may come again, after so many microseconds if not 0."""
@@ -61,6 +66,9 @@
     def unknown(self) -> None:
         """Answer that it may have run, that this will never be known, and that it will not run again."""
 
+    def clash(self) -> None:
+        """Answer that its id is that of another request."""
+
 
 class Desk(Protocol):
     """Where fronts bring requests."""
--- a/lynxreel/fronts/http.py
+++ b/lynxreel/fronts/http.py
@@ -30,7 +30,7 @@
 from lynxreel.openapi.routes import BadPath, split
 from lynxreel.protocol import resp
 from lynxreel.protocol.address import Address
-from lynxreel.protocol.exchange import Answer, Exchange, Fields
+from lynxreel.protocol.exchange import WAIT, Answer, Exchange, Fields, pack
 from lynxreel.relay.stream import Stream
 
 MOST_HEAD = 16_384  # bytes of a request's head
@@ -73,25 +73,30 @@
         """Boxes speak HTTP, by the description; else RESP2."""
         return self.serving.admission.table.http_boxes
 
-    def front(self, engine: Desk, most: int, loop: asyncio.AbstractEventLoop, doors: Doors) -> Web:
-        """The front, which listens nowhere yet; `most` connections."""
-        return Web(engine, self.serving, most, loop, doors)
+    def front(
+        self, engine: Desk, most: int, loop: asyncio.AbstractEventLoop, doors: Doors, back: bool
+    ) -> Web:
+        """The front, which listens nowhere yet; `most` connections. `back`: clients may come back."""
+        return Web(engine, self.serving, most, loop, doors, back)
 
 
 class Call:
     """One request, as the engine sees it."""
 
-    __slots__ = ("cls", "connection", "customer", "first", "id", "patience", "plan", "repeat", "request",
-                 "retry", "serving", "spread", "started", "units", "whole")  # fmt: skip
+    __slots__ = ("back", "cls", "connection", "customer", "first", "id", "mark", "patience", "plan", "repeat",
+                 "request", "retry", "seeks", "serving", "spread", "started", "units", "whole")  # fmt: skip
 
-    def __init__(self, connection: Connection, whole: Whole, serving: Serving, number: bytes) -> None:
+    def __init__(
+        self, connection: Connection, whole: Whole, serving: Serving, number: bytes, back: bool
+    ) -> None:
         head = whole.head
         self.connection, self.whole, self.serving = connection, whole, serving
         self.id, self.customer, self.cls, self.plan = number, head.customer, head.cls, head.plan
         self.units, self.patience = whole.units, head.patience
         self.spread, self.first, self.retry = serving.spread, 0, False
         self.request = 0
-        self.repeat = ""
+        self.repeat, self.mark = "", b""  # the Idempotency-Key that it runs under here, and what is asked
+        self.back, self.seeks = back, False
         self.started = connection.web.loop.time()
 
     def command(self, wait: int) -> bytes:
@@ -117,30 +122,30 @@
             *head.fields, ("Forwarded", self.connection.came_from(self.serving.proxies)),
             ("Lynxreel-Customer", f"{self.customer:016x}"), ("Lynxreel-Class", names[0]),
             ("Lynxreel-Plan", names[1]), ("Lynxreel-Units", f"{self.units:g}"),
-            ("Lynxreel-Wait-Ms", str(max(1, wait // 1_000))), ("Lynxreel-Request", self.id.decode()),
+            (WAIT, str(max(1, wait // 1_000))), ("Lynxreel-Request", self.id.decode()),
         ]  # fmt: skip
         fields += [("Idempotency-Key", self.id.decode())] if head.key else []
         fields += [("Content-Type", self.whole.kind)] if self.whole.body and self.whole.kind else []
         how = boxes.host, boxes.turned_away
         return Exchange(head.route.method, head.target, tuple(fields), self.whole.body, *how)
 
-    def served(self, value: bytes | Stream) -> None:
+    def served(self, value: bytes | Stream, again: bool = False) -> None:
         """Answer with a box's value."""
         assert isinstance(value, bytes)  # as `streams` says
         if isinstance(value, Answer):
             kind = next((text for name, text in value.fields if name == "Content-Type"), "")
             fields = tuple(pair for pair in value.fields if pair[0] != "Content-Type")
-            self._end(value.status, kind, value, fields, True)
+            self._end(value.status, kind, value, fields, True, again)
         else:
-            self._end(200, _kind(value), value, (), True)
+            self._end(200, _kind(value), value, (), True, again)
 
     streams = False  # what a client gets by HTTP has its length and its end known
-    counted = sent = back = False
+    counted = sent = False
 
-    def portable(self) -> tuple[bytes, ...] | None:
-        """The strings of its command, where boxes are sent one."""
+    def portable(self) -> tuple[bytes, ...]:
+        """The strings of its command, or of what a box is asked over HTTP."""
         if self.whole.head.route.boxes is not None:
-            return None
+            return pack(self.exchange(self.patience * 1_000))
         return self._strings(self.whole.payload, self.patience)
 
     def refused(self, wait: int) -> None:
@@ -167,14 +172,22 @@
         told = "it may have run before its gateway was lost, and is not run again"
         self._end(500, PROBLEM, problem(500, "Outcome unknown", told))
 
-    def _end(self, status: int, kind: str, body: bytes, headers: Fields = (), box: bool = False) -> None:
-        """Answer; `box`: as a box did."""
+    def clash(self) -> None:
+        """Answer that its id is that of another request."""
+        self._end(*OTHER)
+
+    def _end(
+        self, status: int, kind: str, body: bytes, headers: Fields = (), box: bool = False,
+        again: bool = False,
+    ) -> None:  # fmt: skip
+        """Answer; `box`: as a box did; `again`: to another request under its key."""
         self.request = 0
         if self.repeat:
             # What was refused or failed may be tried again under its key; the box is sent the same id.
             kept = (status, kind, body, headers) if box else None
             now, head = self.connection.web.loop.time(), self.whole.head
             self.serving.repeats.end(now, self.customer, head.route.id, self.repeat, kept)
+            headers = (*headers, REPLAYED) if again else headers
         self.connection.answer(status, kind, body, headers)
 
 
@@ -189,6 +202,11 @@
     return json.dumps({**told, "detail": detail} if detail else told).encode()
 
 
+USED = "Another request", "this Idempotency-Key was used for a different request"
+OTHER = 422, PROBLEM, problem(422, *USED)
+REPLAYED = ("Idempotency-Replayed", "true")
+
+
 def _kind(value: bytes) -> str:
     return "application/json" if value[:1] in (b"{", b"[", b'"') else "application/octet-stream"
 
@@ -351,7 +369,7 @@
         self._owes = False
         try:
             whole = serving.admission.whole(head, self._headers.get("content-type", ""), bytes(self._body))
-            call = Call(self, whole, serving, self._number(head))
+            call = Call(self, whole, serving, self._number(head), self._back())
             if head.key and not self._repeat(call, whole):
                 return
             self._call = call
@@ -362,10 +380,22 @@
         except Rejected as wrong:
             self._reject(wrong, read=True)
 
+    def _back(self) -> bool:
+        """Whether its client has asked for it before, and comes back for it."""
+        told = self._headers.get("lynxreel-back", "0")
+        if told not in ("0", "1"):
+            raise Rejected(400, "Bad Lynxreel-Back", "0 or 1 is wanted")
+        if told == "1" and not self.web.back:
+            raise Rejected(400, "Bad Lynxreel-Back", "work in hand is not kept for others here")
+        return told == "1"
+
     def _number(self, head: Head) -> bytes:
         """An id of this request's own; under an Idempotency-Key, the same for all its repeats."""
+        named = self._headers.get("lynxreel-request", "") if self.web.back else ""
+        if named and not REQUEST_ID.fullmatch(named):
+            raise Rejected(400, "Bad Lynxreel-Request", "1 to 64 letters, digits, dots, colons, - and _")
         if not head.key:
-            return b"h" + secrets.token_hex(12).encode()
+            return named.encode() or b"h" + secrets.token_hex(12).encode()
         text = f"{head.customer:x}/{head.route.id}/{head.key}"
         return b"k" + hashlib.sha256(text.encode()).hexdigest()[:40].encode()
 
@@ -375,16 +405,17 @@
         now = self.web.loop.time()
         found, answer = repeats.begin(now, head.customer, head.route.id, head.key, whole.mark)
         if found is Found.NEW:
-            call.repeat = head.key
+            call.repeat, call.mark = head.key, whole.mark
+            call.seeks = True  # its client may have used the key at another instance
             return True
         if found is Found.DONE:
             status, kind, body, headers = cast(tuple[int, str, bytes, Fields], answer)
-            self.answer(status, kind, body, (*headers, ("Idempotency-Replayed", "true")))
+            self.answer(status, kind, body, (*headers, REPLAYED))
             return False
         if found is Found.RUNNING:
             raise Rejected(409, "Running", "the first request under this Idempotency-Key has no answer yet")
         if found is Found.OTHER:
-            raise Rejected(422, "Another request", "this Idempotency-Key was used for a different request")
+            raise Rejected(422, *USED)
         raise Rejected(503, "No room", "no more Idempotency-Keys can be kept now", **{"Retry-After": "1"})
 
     # --- answers ----------------------------------------------------------------------------------------
@@ -545,9 +576,10 @@
 
     def __init__(
         self, engine: Desk, serving: Serving, most: int, loop: asyncio.AbstractEventLoop,
-        doors: Doors | None = None,
+        doors: Doors | None = None, back: bool = False,
     ) -> None:  # fmt: skip
         """`doors`: where its listeners come from; it opens them itself by default."""
+        self.back = back  # clients may come back for what another instance had
         self._doors = doors or OwnDoors(loop)
         self.engine, self.serving, self.loop = engine, serving, loop
         self.connections: set[Connection] = set()
--- a/lynxreel/fronts/resp2.py
+++ b/lynxreel/fronts/resp2.py
@@ -82,7 +82,8 @@
     """One command of a client, from its reading to its answer."""
 
     streams = True
-    counted = sent = False
+    counted = sent = seeks = False
+    mark = b""
     __slots__ = ("back", "cls", "connection", "customer", "first", "id", "patience", "plan", "reply",
                  "request", "retry", "spread", "units", "words")  # fmt: skip
 
@@ -135,7 +136,7 @@
         """The same for a box that speaks HTTP."""
         return commands.exchange(self.words, wait)
 
-    def served(self, value: bytes | Stream) -> None:
+    def served(self, value: bytes | Stream, again: bool = False) -> None:
         """Answer with a server's value."""
         self._answer(value if isinstance(value, Stream) else b"$%d\r\n%b\r\n" % (len(value), value))
 
@@ -151,6 +152,10 @@
         """Answer that it may have run, and will not run again."""
         self._answer(b"-UNKNOWN it may have run, and is not run again\r\n")
 
+    def clash(self) -> None:
+        """Answer that its id is that of another request."""
+        self._answer(b"-ERR the id is taken\r\n")
+
     def _answer(self, reply: bytes | Stream) -> None:
         self.reply, self.request = reply, 0
         self.connection.flush()
--- a/lynxreel/node.py
+++ b/lynxreel/node.py
@@ -104,7 +104,8 @@
         self.clients = Clients(desk, self._terms(deployment), clients, loop, doors)
         self.web: Web | None = None
         if deployment.http is not None:  # its connections are as many again: docs/openapi.md
-            self.web = deployment.http.front(desk, clients // 2, loop, doors)
+            back = deployment.takeover is not None
+            self.web = deployment.http.front(desk, clients // 2, loop, doors, back)
         self.peers: Peers | None = None
         if deployment.peers is not None:
             addresses, index = deployment.peers.addresses, settings.index
--- a/lynxreel/protocol/commands.py
+++ b/lynxreel/protocol/commands.py
@@ -19,14 +19,16 @@
 
 
 def exchange(words: Sequence[bytes], wait: int) -> Exchange:
-    """The same for a box that speaks HTTP: a POST that says all of it (docs/openapi.md)."""
+    """The same for a box that speaks HTTP: what its client asked, or a POST that says all of it."""
     # Imported here: on the platform no box speaks HTTP.
-    from lynxreel.protocol.exchange import Exchange
+    from lynxreel.protocol.exchange import PACKED, WAIT, Exchange, unpack
 
+    if words[0] == PACKED:
+        return unpack(words, wait)
     name, customer, number, terms = (word.decode("latin-1") for word in words[:4])
     headers = (
         ("Lynxreel-Command", name), ("Lynxreel-Customer", customer), ("Lynxreel-Request", number),
-        ("Lynxreel-Terms", terms), ("Lynxreel-Wait-Ms", str(max(1, wait // 1_000))),
+        ("Lynxreel-Terms", terms), (WAIT, str(max(1, wait // 1_000))),
         ("Content-Type", "application/octet-stream"),
     )  # fmt: skip
     return Exchange("POST", "/lynxreel/call", headers, b"".join(words[4:]), value=True)
--- a/lynxreel/takeover/calls.py
+++ b/lynxreel/takeover/calls.py
@@ -8,7 +8,7 @@
 from lynxreel.engine.engine import Call
 from lynxreel.protocol import commands
 from lynxreel.relay.stream import Stream
-from lynxreel.takeover.messages import Answer, How, Record
+from lynxreel.takeover.messages import OTHER, Answer, How, Record
 
 if TYPE_CHECKING:
     from lynxreel.protocol.exchange import Exchange
@@ -17,10 +17,10 @@
 class Covered:
     """A request of which this instance is the owner. `ended` gets its answer, and the value as it came."""
 
-    __slots__ = ("accepted", "cls", "counted", "customer", "ended", "first", "id", "inner", "over",
+    __slots__ = ("accepted", "cls", "counted", "customer", "ended", "first", "id", "inner", "mark", "over",
                  "patience", "plan", "request", "retry", "spread", "streams", "token", "units",
                  "words", "sent")  # fmt: skip
-    back = False
+    back = seeks = False
 
     def __init__(
         self, inner: Call | None, ended: Callable[[Covered, Answer, bytes | Stream], None], token: int
@@ -30,6 +30,7 @@
         self.request = 0  # the engine's number
         self.accepted = self.over = False  # its keeper was told of it; it has its answer
         self.words: Sequence[bytes] = ()
+        self.mark = b"" if inner is None else inner.mark
         self.streams = self.counted = self.sent = self.retry = False
         if inner is not None:
             self.id, self.customer, self.cls, self.plan = inner.id, inner.customer, inner.cls, inner.plan
@@ -51,8 +52,8 @@
         made.counted, made.sent, made.accepted = counted, sent, True
         return made
 
-    def portable(self) -> tuple[bytes, ...] | None:
-        """Its strings, for whoever goes on with it; None where it has no such form."""
+    def portable(self) -> tuple[bytes, ...]:
+        """Its strings, for whoever goes on with it."""
         return self.inner.portable() if self.inner is not None else tuple(self.words)
 
     def command(self, wait: int) -> bytes:
@@ -63,7 +64,7 @@
         """The same for a server that speaks HTTP."""
         return self.inner.exchange(wait) if self.inner is not None else commands.exchange(self.words, wait)
 
-    def served(self, value: bytes | Stream) -> None:
+    def served(self, value: bytes | Stream, again: bool = False) -> None:
         """A server's value is here, or begins to come."""
         if isinstance(value, Stream):
             self.ended(self, Answer(How.UNKEPT), value)
@@ -85,6 +86,10 @@
         """It may have run."""
         self.ended(self, Answer(How.UNKNOWN), b"")
 
+    def clash(self) -> None:
+        """Its id is that of another request."""
+        self.ended(self, OTHER, b"")
+
 
 def tell(call: Call, answer: Answer, value: bytes | Stream | None, harmless: bool) -> None:
     """Give a client its answer; `value` where it is at hand as it came. `harmless`: it may run twice."""
@@ -94,15 +99,17 @@
         case How.SERVED if answer.status:
             from lynxreel.protocol.exchange import Answer as Over  # here: only where boxes speak HTTP
 
-            call.served(Over.of(answer.value, answer.status, answer.fields))
+            call.served(Over.of(answer.value, answer.status, answer.fields), again=True)
         case How.SERVED:
-            call.served(answer.value)
+            call.served(answer.value, again=True)
         case How.UNKEPT if value is not None:
             call.served(value)
         case How.REFUSED:
             call.refused(answer.wait)
         case How.FAILED:
             call.failed()
+        case How.OTHER:
+            call.clash()
         case How.UNKEPT if harmless:
             call.refused(0)
         case _:
--- a/lynxreel/takeover/cover.py
+++ b/lynxreel/takeover/cover.py
@@ -18,7 +18,7 @@
 from lynxreel.takeover.calls import Covered, tell
 from lynxreel.takeover.incarnation import next_incarnation
 from lynxreel.takeover.messages import KINDS, Answer, How, Record
-from lynxreel.takeover.work import Ask, Carry, Class, Give, Go, Leave, Say, Stay, Terms, Work
+from lynxreel.takeover.work import Ask, Begin, Carry, Class, Give, Go, Leave, Say, Stay, Terms, Work
 from mothgap.interface import Effect, Result, Settings
 
 if TYPE_CHECKING:
@@ -138,18 +138,31 @@
     def submit(self, call: Call) -> int:
         """Take a request, or a client that comes back for one."""
         token = next(self._tokens)
-        if call.back:
+        if call.back or call.seeks:
             self._calls[token] = call
             self._loop.call_soon(self._come, token, call)
             return token
+        return token if self._begin(token, call, call.patience) else 0
+
+    def _begin(self, token: int, call: Call, patience: int) -> bool:
+        """Take a new request, whose client waits for so many milliseconds; false where its id is taken."""
         covered = Covered(call, self._ended, token)
+        covered.patience = patience
         covered.request = self._engine.submit(covered)
         if not covered.request:
-            return 0
+            return False
         self._calls[token] = call
         self._fresh[token] = self._covered[covered.request] = covered
         self._loop.call_soon(self._accept, covered)
-        return token
+        return True
+
+    def _begun(self, token: int) -> None:
+        """Nobody has what this client may have asked for before."""
+        timer, call = self._timers.pop(token), self._calls.pop(token)
+        timer.cancel()
+        left = round((timer.when() - self._loop.time()) * 1e3) + WAY // 1_000
+        if not self._begin(token, call, max(1, left)):
+            call.clash()
 
     def gone(self, token: int) -> None:
         """A client has left."""
@@ -169,7 +182,8 @@
         left = max(0, min(call.patience * 1_000, self._settings.classes[call.cls].deadline) - WAY)
         effect = self._settings.classes[call.cls].effect
         self._timers[token] = self._loop.call_later(left / 1e6, self._overdue, token, effect)
-        self._act(self.work.back(self._now(), token, call.id, call.customer, effect))
+        asked = self._now(), token, call.id, call.customer, effect
+        self._act(self.work.back(*asked) if call.back else self.work.seek(*asked, call.mark))
 
     def _overdue(self, token: int, effect: Effect) -> None:
         self._timers.pop(token, None)
@@ -177,14 +191,14 @@
 
     def _accept(self, covered: Covered) -> None:
         """The decision module has seen it; whether its units were added is known by now."""
-        if covered.accepted or covered.over or (words := covered.portable()) is None:
+        if covered.accepted or covered.over:
             return
         del self._fresh[covered.token]
         covered.accepted = True
         self._by_id[covered.id] = covered
         record = Record(
             covered.id, covered.customer, self._names[0][covered.cls], self._names[1][covered.plan],
-            covered.units, covered.spread, covered.first, words,
+            covered.units, covered.spread, covered.first, covered.portable(), covered.mark,
         )  # fmt: skip
         left = max(0, min(covered.patience * 1_000, self._settings.classes[covered.cls].deadline) - WAY)
         self._act(self.work.accepted(self._now(), record, left, covered.counted, covered.token))
@@ -278,6 +292,8 @@
                         self._engine.finished(held[0], Result.NOT_SENT)
                 case Carry():
                     self._carry(action)
+                case Begin():
+                    self._begun(action.token)
                 case Leave():
                     if (covered := self._by_id.pop(action.id, None)) is not None:
                         covered.over = True
--- a/lynxreel/takeover/messages.py
+++ b/lynxreel/takeover/messages.py
@@ -18,6 +18,7 @@
     FAILED = 3  # it may have run
     UNKNOWN = 4  # it may have run, and nobody will ever know
     UNKEPT = 5  # it was served with more than is kept
+    OTHER = 6  # the id is that of another request
 
 
 class Answer(msgspec.Struct, frozen=True, array_like=True):
@@ -30,7 +31,7 @@
     fields: tuple[tuple[str, str], ...] = ()
 
 
-NONE, UNKNOWN, REFUSED = Answer(How.NONE), Answer(How.UNKNOWN), Answer(How.REFUSED)
+NONE, UNKNOWN, REFUSED, OTHER = (Answer(how) for how in (How.NONE, How.UNKNOWN, How.REFUSED, How.OTHER))
 
 
 class Record(msgspec.Struct, frozen=True, array_like=True):
@@ -43,7 +44,8 @@
     units: float
     spread: int
     first: int
-    call: tuple[bytes, ...]  # the strings of the command that boxes are sent
+    call: tuple[bytes, ...]  # the strings of the command that boxes are sent, or of what they are asked
+    mark: bytes = b""  # of what was asked; empty where any request under its id is the same
 
     @property
     def size(self) -> int:
@@ -114,6 +116,7 @@
     customer: int
     round: int  # which asking it is; an answer to an earlier one says nothing of now
     last: bool  # if nobody has it now, nobody may have it later: its end will be told as unknown
+    mark: bytes = b""
 
 
 class Result(msgspec.Struct, frozen=True, array_like=True, tag="result"):
--- a/lynxreel/takeover/work.py
+++ b/lynxreel/takeover/work.py
@@ -27,8 +27,8 @@
 from lynxreel.links.peers import Dead, Lost, Peers, State, Up
 from lynxreel.links.rank import Ranks
 from lynxreel.takeover.messages import (
-    NONE, REFUSED, UNKNOWN, Answer, Done, How, Intent, Message, Noted, Put, Record, Result, Taken, Unkept,
-    Want,
+    NONE, OTHER, REFUSED, UNKNOWN, Answer, Done, How, Intent, Message, Noted, Put, Record, Result, Taken,
+    Unkept, Want,
 )  # fmt: skip
 from lynxreel.takeover.rights import BEATS, Beat, Echo, Pair, Rights, Standing
 from mothgap.interface import Effect
@@ -111,6 +111,13 @@
     answer: Answer
 
 
+@dataclass(frozen=True, slots=True)
+class Begin:
+    """Nobody was found to have what this client may have asked for before: it is a new request."""
+
+    token: int
+
+
 @dataclass(frozen=True, slots=True)
 class Leave:
     """Nobody here wants it any more. `moved`: another instance has it, with the units that it took."""
@@ -127,7 +134,7 @@
     owner: bool  # as the owner; else as the keeper
 
 
-Action: TypeAlias = Say | Go | Stay | Carry | Give | Leave | Ask
+Action: TypeAlias = Say | Go | Stay | Carry | Give | Begin | Leave | Ask
 
 
 # --- state ----------------------------------------------------------------------------------------------
@@ -177,7 +184,7 @@
 
 @dataclass(slots=True)
 class Asked:
-    """A client that has come back for what is not held here."""
+    """A client that has come back, or may have, for what is not held here."""
 
     id: bytes
     customer: int
@@ -186,6 +193,8 @@
     round: int = 0
     again: int = 0  # when to ask again
     paused: bool = False  # until then nobody is asked
+    begins: bool = False  # it is a new request unless somebody says otherwise, at `again` at the latest
+    mark: bytes = b""
 
 
 class Work:
@@ -425,31 +434,55 @@
         self._come(now, token, number, customer, effect)
         return self._out
 
+    def seek(
+        self, now: int, token: int, number: bytes, customer: int, effect: Effect, mark: bytes
+    ) -> list[Action]:
+        """A request under a key that its client may have used before; a Give or Begin follows.
+
+        Those that are likely to have a copy are asked once. Guards against a second run only as far as boxes
+        drop repeats under a key: where nobody answers in time it is begun.
+        """
+        self._out = []
+        if not self._claim(now, token, number, customer, mark):
+            asked = self._inquire(token, number, customer, effect)
+            asked.begins, asked.mark, asked.again = True, mark, now + self._terms.wait
+            self._ask(now, token, asked)
+        return self._out
+
     def _come(self, now: int, token: int, number: bytes, customer: int, effect: Effect) -> None:
         if not self._claim(now, token, number, customer):
-            likely = [name for name in self._ranks.likely(number) if name != self._terms.name]
-            asked = self.asked[token] = Asked(number, customer, effect, dict.fromkeys(likely, True))
-            self._here[token] = number
-            self._ask(now, token, asked)
+            self._ask(now, token, self._inquire(token, number, customer, effect))
+
+    def _inquire(self, token: int, number: bytes, customer: int, effect: Effect) -> Asked:
+        """Nothing is known of it here: those that are likely to have it are to be asked."""
+        likely = [name for name in self._ranks.likely(number) if name != self._terms.name]
+        asked = self.asked[token] = Asked(number, customer, effect, dict.fromkeys(likely, True))
+        self._here[token] = number
+        return asked
 
     def _ask(self, now: int, token: int, asked: Asked) -> None:
         """Ask all whose word is awaited, and see whether any is."""
-        asked.again = now + REPEAT
+        if not asked.begins:
+            asked.again = now + REPEAT
         for name in asked.waiting:
-            if self._peers.peers[name].state is State.DEAD:
+            state = self._peers.peers[name].state
+            if state is State.DEAD or (asked.begins and state is not State.UP):
                 asked.waiting[name] = False
             elif asked.waiting[name]:
-                last = asked.round >= ROUNDS
-                self._out.append(Say(name, Want(token, asked.id, asked.customer, asked.round, last)))
+                want = Want(token, asked.id, asked.customer, asked.round, asked.round >= ROUNDS, asked.mark)
+                self._out.append(Say(name, want))
         self._none(now, token, asked)
 
     def _none(self, now: int, token: int, asked: Asked) -> None:
         """What follows once all that were asked have said that they don't have it."""
         if asked.paused or any(asked.waiting.values()):
             return
-        if self._claim(now, token, asked.id, asked.customer):
+        if self._claim(now, token, asked.id, asked.customer, asked.mark):
             del self.asked[token]  # a copy has come here meanwhile
             return
+        if asked.begins:
+            self._begin(token)
+            return
         if asked.round < ROUNDS:
             asked.round += 1
             if asked.round == 1:  # the likely ones don't have it
@@ -462,12 +495,19 @@
         self._deny(now, asked.id)
         self._end_unknown(token, asked.effect)
 
-    def _claim(self, now: int, waiter: Waiter, number: bytes, customer: int) -> bool:
+    def _begin(self, token: int) -> None:
+        del self.asked[token], self._here[token]
+        self._out.append(Begin(token))
+
+    def _claim(self, now: int, waiter: Waiter, number: bytes, customer: int, mark: bytes = b"") -> bool:
         """Have this waiter get the answer, if the request is held here."""
         own = self.own.get(number)
         entry = self.kept.get(number) if own is None or own.taken else own
         if entry is None or entry.record.customer != customer:
             return False
+        if mark and entry.record.mark and mark != entry.record.mark:
+            self._give(waiter, OTHER)
+            return True
         if entry.answer is not None and not (isinstance(entry, Own) and entry.refusing):
             self.counts["told_again"] += 1
             self._give(waiter, entry.answer)
@@ -602,7 +642,8 @@
             case Taken():
                 self._on_taken(now, message)
             case Want():
-                if not self._claim(now, (sender, message.token), message.id, message.customer):
+                who = sender, message.token
+                if not self._claim(now, who, message.id, message.customer, message.mark):
                     if message.last:
                         self._deny(now, message.id)
                     self._out.append(Say(sender, Result(message.token, message.round, NONE)))
@@ -904,7 +945,9 @@
             self.counts["stayed"] += 1
             self._out.append(Stay(number, attempt))
         for token, asked in list(self.asked.items()):
-            if asked.again <= now:
+            if asked.again <= now and asked.begins:
+                self._begin(token)
+            elif asked.again <= now:
                 if asked.paused:
                     asked.waiting, asked.paused = dict.fromkeys(self._peers.peers, True), False
                 self._ask(now, token, asked)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -146,6 +146,7 @@
 async def web(
     folder: Path, gateways: int = 1, rate: float = 2.0, burst: float = 100.0,
     keys: dict[str, str] | None = None, told: dict[str, Any] | None = None, link: Any = Resp2Link,
+    takeover: bool = False,
 ) -> AsyncIterator[Deployment]:
     """Gateways with an HTTP front. Keys k0, k1, ... are those of customers; `keys` has more."""
     api, held = folder / "api.json", folder / "keys.json"
@@ -169,7 +170,7 @@
         ]  # fmt: skip
         return text + "\n".join(lines) + "\n"
 
-    deployment = Deployment(folder, gateways, 50.0, 1, 8, edit, link=link)
+    deployment = Deployment(folder, gateways, 50.0, 1, 8, edit, link=link, takeover=takeover)
     try:
         await deployment.start()
         for box in deployment.boxes:
