Work in hand of workers: each is an instance, on both sides of a handover

Need: a worker that died took its requests with it, and a handover had no place in work in hand: links were of single instances (the file with both was refused).

Change: with gateway.workers an address in [links] is the first of a row of ports, two for each worker, one for either side of a handover, so old and new are instances with names of their own and both are up meanwhile. Copies go to another zone, else another machine (Ranks knows hosts), else a sibling. The likely keepers are those that are not dead.

--- a/lynxreel/cli/fleet.py
+++ b/lynxreel/cli/fleet.py
@@ -6,6 +6,7 @@
 import sys
 from pathlib import Path
 
+from lynxreel.config.model import OperatorFile
 from lynxreel.config.read import ConfigError, read
 from lynxreel.daemon.place import Place
 from lynxreel.fleet.views import Step, View, advise
@@ -27,11 +28,9 @@
         return BAD_CONFIG
     target = View(gateways, before) if gateways else files[0].view
     for file in files:
-        workers = max(1, file.gateway.workers)
-        for place in Place(file.state.folder).instances():
+        for name, place in _instances(file):
             if place.held():  # one whose lock is free has ended, and holds nothing
-                name = file.gateway.name if workers == 1 else f"{file.gateway.name}/{place.folder.name}"
-                running[name] = _view(place, workers)
+                running[name] = _view(place, max(1, file.gateway.workers))
     advice = advise(target, running)
     views = {name: str(view) if view is not None else None for name, view in running.items()}
     told = {"target": str(target), "running": views, "next": advice.step.value, "why": advice.text}
@@ -49,19 +48,27 @@
         print(wrong, file=sys.stderr)
         return BAD_CONFIG
     for file in files:
-        place = Place(file.state.folder)
-        if not place.held():
-            told[file.gateway.name] = "it does not run"
-            continue
-        try:
-            told[file.gateway.name] = ask(str(place.queries), "work")
-        except (OSError, ValueError) as wrong:
-            told[file.gateway.name] = f"can't be asked: {wrong}"
-            unknown += 1
+        for name, place in _instances(file):
+            if not place.held():
+                told[name] = "it does not run"
+                continue
+            try:
+                told[name] = ask(str(place.queries), "work")
+            except (OSError, ValueError) as wrong:
+                told[name] = f"can't be asked: {wrong}"
+                unknown += 1
     print(json.dumps(told, indent=2))
     return WAIT if unknown else 0
 
 
+def _instances(file: OperatorFile) -> list[tuple[str, Place]]:
+    """A gateway's instances, by the names that they are shown under."""
+    name, places = file.gateway.name, Place(file.state.folder).instances()
+    if file.gateway.workers <= 1:
+        return [(name, place) for place in places]
+    return [(f"{name}/{place.folder.name}", place) for place in places]
+
+
 def _view(place: Place, workers: int) -> View | None:
     """What an instance goes by; a worker's numbers are of workers."""
     told = place.read().get("fleet")
--- a/lynxreel/config/deploy.py
+++ b/lynxreel/config/deploy.py
@@ -114,6 +114,8 @@
         "gateway": gateway.model_copy(update=numbers),
         "state": file.state.model_copy(update={"folder": folder}),
     }
+    if file.links is not None:
+        changed["links"] = _worker_links(file.links, gateway, slot, side)
     if file.records is not None:
         path = Path(file.records.file)
         own = str(path.with_name(f"{path.stem}-{mark}{path.suffix}"))
@@ -121,6 +123,23 @@
     return file.model_copy(update=changed)
 
 
+def _worker_links(links: model.Links, gateway: model.Gateway, slot: int, side: str) -> model.Links:
+    """A worker's: all workers of all gateways, those of either side of a handover, each with its address."""
+    own = model.PeerInstance(name=gateway.name, address=links.listen, zone=links.zone, host=links.host)
+    peers, place = list[model.PeerInstance](), own
+    for peer in (own, *[peer for peer in links.peers if peer.name != gateway.name]):
+        host, port = read_address(peer.address)
+        for number in range(gateway.workers):
+            for turn, mark in enumerate(model.SIDES):
+                at = f"{host}:{port + len(model.SIDES) * number + turn}"
+                told = {"name": f"{peer.name}-{number}{mark}", "address": at, "host": peer.host or peer.name}
+                peers.append(peer.model_copy(update=told))
+                if peer is own and (number, mark) == (slot, side):
+                    place = peers[-1]
+    named = {"name": place.name, "listen": place.address, "host": place.host}
+    return links.model_copy(update={**named, "peers": tuple(peers)})
+
+
 def _placed(
     places: dict[str, int], named: list[tuple[str, Known]], before: tuple[Known, ...]
 ) -> tuple[Known, ...]:
@@ -143,8 +162,10 @@
     from lynxreel.links.mesh import Place  # here: only where it is configured
     from lynxreel.takeover.cover import Plan
 
-    own = Place(file.gateway.name, links.zone, read_address(links.listen))
-    others = tuple(Place(peer.name, peer.zone, read_address(peer.address)) for peer in links.peers)
+    own = Place(links.name or file.gateway.name, links.zone, read_address(links.listen), links.host)
+    others = tuple(
+        Place(peer.name, peer.zone, read_address(peer.address), peer.host) for peer in links.peers
+    )
     word = None
     if entry.word and file.boxes.etcd is not None:
         from lynxreel.takeover.word import Word
--- a/lynxreel/config/model.py
+++ b/lynxreel/config/model.py
@@ -8,6 +8,7 @@
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, model_validator
 
 from lynxreel.fleet.views import View
+from lynxreel.protocol.address import read_address
 
 
 def _address(text: str) -> str:
@@ -24,6 +25,7 @@
         raise ValueError(f"no network: {wrong}; write it as 10.0.0.0/8") from None
 
 
+SIDES = "ab"  # workers of a supervisor, and of the one that takes over from it
 Address = Annotated[str, AfterValidator(_address)]
 Network = Annotated[str, AfterValidator(_network)]
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9._:-]{1,64}$")]
@@ -293,13 +295,19 @@
     name: Name
     address: Address
     zone: str = Field(default="", max_length=64)
+    host: str = Field(default="", max_length=64, description="its machine, where others are of the same")
 
 
 class Links(_Table):
-    """Where this instance hears the others, and who they are; it may stand among them itself."""
+    """Where this instance hears the others, and who they are; it may stand among them itself.
 
+    With `gateway.workers` each address is the first of twice as many as there are workers.
+    """
+
+    name: str = Field(default="", max_length=80, description="by which the others know it; gateway.name")
     listen: Address
     zone: str = Field(default="", max_length=64, description="where this instance runs")
+    host: str = Field(default="", max_length=64, description="its machine, where others are of the same")
     peers: tuple[PeerInstance, ...] = Field(min_length=1, strict=False)
 
     @model_validator(mode="after")
@@ -355,6 +363,25 @@
             return View(self.gateway.gateways)
         return View(self.fleet.gateways, self.fleet.before)
 
+    def _check_links(self) -> None:
+        """Guards against workers' addresses that are none, or another gateway's."""
+        if self.links is None or not self.gateway.workers:
+            return
+        if self.links.name:
+            raise ValueError("links.name is of one instance, gateway.workers asks for several: remove one")
+        spans: list[tuple[str, int, str]] = [(*read_address(self.links.listen), self.gateway.name)]
+        for peer in self.links.peers:
+            if peer.name != self.gateway.name:
+                spans.append((*read_address(peer.address), peer.name))
+        most = len(SIDES) * self.gateway.workers
+        for number, (host, port, name) in enumerate(spans):
+            if port + most > 65_536:
+                raise ValueError(f"links: {name} has {most} ports from {port} on, past the last one there is")
+            for other_host, other, other_name in spans[:number]:
+                if host == other_host and abs(port - other) < most:
+                    why = f"each has {most} of them, two for each worker"
+                    raise ValueError(f"links: ports of {other_name} and {name} are too near: {why}")
+
     @model_validator(mode="after")
     def _check(self) -> OperatorFile:
         for what, names in (("classes", self.classes), ("plans", self.plans)):
@@ -374,8 +401,7 @@
             raise ValueError("takeover goes with links: tell who the other instances are")
         if self.takeover is not None and self.takeover.word and self.boxes.etcd is None:
             raise ValueError("takeover.word goes with boxes.etcd: it is written there")
-        if self.links is not None and self.gateway.workers:
-            raise ValueError("links are of one instance, and gateway.workers asks for several: remove one")
+        self._check_links()
         longest = max(cls.deadline_ms for cls in self.classes)
         if self.drain.deadline_ms < longest:
             raise ValueError(
--- a/lynxreel/daemon/serve.py
+++ b/lynxreel/daemon/serve.py
@@ -155,6 +155,7 @@
         if self._leash is None:
             await self.node.start(None)
         else:
+            await self.node.join()
             await self.node.warm(None)
             self._leash.ready()
         waiting.cancel()
--- a/lynxreel/links/mesh.py
+++ b/lynxreel/links/mesh.py
@@ -25,6 +25,7 @@
 MOST_FRAME = 8 << 20  # bytes; more is nothing that an instance says
 MOST_QUEUED = 16 << 20  # bytes that wait for one that does not read; then its link ends
 FIRST_PAUSE, MOST_PAUSE = 0.005, 0.25  # seconds between connects: doubled from the first to the last
+DEAD_PAUSE = 2.0  # the last, where connects are refused: whoever comes up speaks first
 CONNECT = 1.0  # seconds for a connect and the Hello that answers it
 
 
@@ -38,11 +39,12 @@
 
 @dataclass(frozen=True)
 class Place:
-    """An instance's name, zone, and where it hears the others."""
+    """An instance's name, zone, where it hears the others, and its machine, if others are there, too."""
 
     name: str
     zone: str
     address: Address
+    host: str = ""
 
 
 class Mesh:
@@ -126,10 +128,11 @@
 
     async def _follow(self, place: Place) -> None:
         """Keep a link to one instance for as long as this one lives."""
-        pause = FIRST_PAUSE
+        pause, most = FIRST_PAUSE, MOST_PAUSE
         while True:
             met = self.peers.peers[place.name].incarnation
             link = _Speaking(self, place.name)
+            most = MOST_PAUSE
             try:
                 async with asyncio.timeout(CONNECT):
                     await self.loop.create_connection(lambda link=link: link, *place.address)  # type: ignore[misc]
@@ -139,6 +142,7 @@
                 await link.over.wait()
             except ConnectionRefusedError:
                 self.news(self.peers.refused(place.name, met))
+                most = DEAD_PAUSE
             except OSError:  # a time-out, too: silence, of which nothing follows
                 pass
             finally:
@@ -147,7 +151,7 @@
                 async with asyncio.timeout(pause):
                     await self._woken[place.name].wait()
             self._woken[place.name].clear()
-            pause = min(MOST_PAUSE, 2 * pause)
+            pause = min(most, 2 * pause)
 
     def linked(self, link: _Speaking, hello: Hello) -> bool:
         """Whoever was called says who it is; false where that is not whom this instance wants to speak to."""
--- a/lynxreel/links/rank.py
+++ b/lynxreel/links/rank.py
@@ -9,16 +9,18 @@
 
 import hashlib
 import zlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 
 BUCKETS = 4096
 
 
 class Ranks:
-    """The orders of a fleet's instances. `zones` has the zone of each, by name."""
+    """The orders of a fleet's instances. `zones` has the zone of each, by name; `hosts` its machine."""
 
-    def __init__(self, zones: Mapping[str, str]) -> None:
+    def __init__(self, zones: Mapping[str, str], hosts: Mapping[str, str] | None = None) -> None:
+        """Without `hosts` each has a machine of its own."""
         self.zones = dict(zones)
+        self.hosts = dict(hosts) if hosts is not None else {name: name for name in zones}
         self._orders: dict[int, tuple[str, ...]] = {}
 
     def order(self, name: bytes) -> tuple[str, ...]:
@@ -30,21 +32,29 @@
         return found
 
     def keeper(self, name: bytes, owner: str, up: Iterable[str]) -> str | None:
-        """Who keeps what `owner` has under a name: the first that is up, of another zone if there is one."""
-        there, same = set(up), None
+        """Who keeps what `owner` has under a name: the first that is up, as far away as there is one."""
+        there, near, nearest = set(up), None, None
         for one in self.order(name):
             if one == owner or one not in there:
                 continue
             if self.zones[one] != self.zones[owner]:
                 return one
-            same = same or one
-        return same
+            if self.hosts[one] != self.hosts[owner]:
+                near = near or one
+            nearest = nearest or one
+        return near or nearest
 
-    def likely(self, name: bytes) -> list[str]:
-        """Who keeps it, whoever owns it, while all are up: the first two, and the first of each zone."""
-        order = self.order(name)
+    def likely(self, name: bytes, gone: Container[str] = ()) -> list[str]:
+        """Who keeps it, whoever owns it, while all but `gone` are up.
+
+        The first two, the first of each zone, and the first of another machine than the very first.
+        """
+        order = [one for one in self.order(name) if one not in gone]
         firsts = {self.zones[one]: one for one in reversed(order)}
-        return [one for one in order if one in order[:2] or firsts[self.zones[one]] == one]
+        elsewhere = next((one for one in order if self.hosts[one] != self.hosts[order[0]]), None)
+        return [
+            one for one in order if one in order[:2] or one in (elsewhere, firsts[self.zones[one]])
+        ]
 
 
 def _weight(instance: str, bucket: int) -> bytes:
--- a/lynxreel/local/deployment.py
+++ b/lynxreel/local/deployment.py
@@ -10,10 +10,12 @@
 import socket
 import sys
 from collections.abc import Callable, Iterable, Mapping
+from contextlib import suppress
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import IO
 
+from lynxreel.config.model import SIDES
 from lynxreel.daemon.place import Place
 from lynxreel.local import files, web
 from lynxreel.local.night import Deed
@@ -51,6 +53,19 @@
         return self.process.returncode
 
 
+def _row(count: int) -> list[socket.socket]:
+    """Listeners at so many ports that follow each other, none of them in use before."""
+    while True:
+        row = [socket.create_server((HOST, 0))]
+        port = row[0].getsockname()[1]
+        with suppress(OSError, OverflowError):
+            while len(row) < count:
+                row.append(socket.create_server((HOST, port + len(row))))
+            return row
+        for held in row:
+            held.close()
+
+
 class Deployment:
     """A deployment of `gateways` instances, and the load on it."""
 
@@ -101,13 +116,15 @@
         self._entries = {box.name: entry(box.name, box.listener.address) for box in self.boxes}
         self.registry.put(*self._entries.values())
         # Held until all are drawn, so that no two gateways are given the same port.
-        fronts = 1 + self._http + self._takeover
+        fronts = 1 + self._http
         holders = [socket.create_server((HOST, 0)) for _ in range(self.count * fronts)]
         addresses = [holder.getsockname()[:2] for holder in holders]
+        if self._takeover:
+            rows = [_row(max(1, len(SIDES) * self._workers)) for _ in range(self.count)]
+            self.links = [row[0].getsockname()[:2] for row in rows]
+            holders += itertools.chain.from_iterable(rows)
         for holder in holders:
             holder.close()
-        if self._takeover:
-            addresses, self.links = addresses[: -self.count], addresses[-self.count :]
         if self._wired:
             for pair in itertools.permutations(range(self.count), 2):
                 wire = Wire(f"g{pair[0]}", f"g{pair[1]}", self.links[pair[1]], self.wire_faults, clock)
@@ -211,7 +228,7 @@
         await self.front.play(traffic.wishes(self.seed + 1, who, world.CLASSES), seconds)
 
     def do(self, what: str, numbers: tuple[int, ...]) -> None:
-        """Kill, drain, reload or stop some gateways at once."""
+        """Kill, drain, reload or stop some gateways at once; a kill ends their workers, too."""
         for number in numbers:
             gateway = self.gateways[number]
             if gateway.code is not None:
@@ -221,6 +238,10 @@
             if what != "reload":
                 gateway.asked = what
             gateway.process.send_signal(ASKS[what])
+            if what == "kill":
+                for worker in gateway.place.read().get("workers", ()):
+                    with suppress(ProcessLookupError, KeyError):
+                        os.kill(worker["pid"], signal.SIGKILL)
 
     async def act(self, deed: Deed) -> None:
         """Do it, and undo it when its span is over."""
--- a/lynxreel/local/night.py
+++ b/lynxreel/local/night.py
@@ -61,7 +61,8 @@
     place = item.pop("place", None)
     if place not in PLACES or (place == "wires" and not wires):
         known = ", ".join(PLACES if wires else PLACES[:-1])
-        raise BadScript(f"{where}: place: is {place!r}, not one of {known} (wires go with --takeover)")
+        why = "wires go with --takeover and without --workers"
+        raise BadScript(f"{where}: place: is {place!r}, not one of {known} ({why})")
     try:
         return place, read_script([item])[0]
     except BadScript as wrong:
--- a/lynxreel/local/run.py
+++ b/lynxreel/local/run.py
@@ -141,13 +141,18 @@
     await deployment.act(deed)
 
 
+def _wired(args: argparse.Namespace) -> bool:
+    """What instances say to each other passes through wires that can fail."""
+    return args.takeover and args.faults is not None and not args.workers
+
+
 def read_faults(args: argparse.Namespace) -> Night:
     """What the file says. Raises ValueError, which names the place, or OSError."""
     if args.faults is None:
         return Night()
     boxes = args.boxes or boxes_for(args.rate)
     try:
-        return read_night(json.loads(args.faults.read_text()), args.gateways, boxes, args.takeover)
+        return read_night(json.loads(args.faults.read_text()), args.gateways, boxes, _wired(args))
     except ValueError as wrong:
         raise ValueError(f"{args.faults}: {wrong}") from None
 
@@ -160,7 +165,7 @@
     link = HttpLink if args.http_boxes else Resp2Link
     deployment = Deployment(
         folder, args.gateways, args.rate, args.seed, args.boxes, http=http, link=link, workers=args.workers,
-        takeover=args.takeover, zones=args.zones, wires=args.takeover and args.faults is not None,
+        takeover=args.takeover, zones=args.zones, wires=_wired(args),
     )  # fmt: skip
     loop = asyncio.get_running_loop()
     ended = asyncio.Event()
@@ -206,8 +211,8 @@
     try:
         script(args.seed, args.seconds, args.gateways, args.kill, args.drain, args.reload)
         night = read_faults(args)
-        if args.takeover and (args.workers or args.zones < 1):
-            raise ValueError("--takeover goes without --workers, and with one zone at least")
+        if args.takeover and args.zones < 1:
+            raise ValueError("--takeover goes with one zone at least")
     except (ValueError, OSError) as wrong:
         print(f"lynxreel local: {wrong}", file=sys.stderr)
         return 2
--- a/lynxreel/node.py
+++ b/lynxreel/node.py
@@ -227,16 +227,20 @@
 
         Raises an OSError where an address is taken.
         """
-        if self.peers is not None and self.deployment.peers is not None:
-            await self.peers.open(self.deployment.peers.listen, self.deployment.peers.beside)
-        if self.cover is not None:
-            await self.cover.open()
+        await self.join()
         reaching = self._loop.create_task(self._reach())
         await self.warm(patience)
         await reaching
         await self.open()
         gc.freeze()  # what the start has made lives on: collections need not look at it again
 
+    async def join(self) -> None:
+        """Hear and be heard by the other instances. Raises an OSError where an address is taken."""
+        if self.peers is not None and self.deployment.peers is not None:
+            await self.peers.open(self.deployment.peers.listen, self.deployment.peers.beside)
+        if self.cover is not None:
+            await self.cover.open()
+
     def hold(self, held: bool) -> None:
         """Hold this instance's share of ceilings from now on, or hand all of it back."""
         self._held = held
--- a/lynxreel/openapi/repeats.py
+++ b/lynxreel/openapi/repeats.py
@@ -1,9 +1,9 @@
 """Answers kept by Idempotency-Key (draft-ietf-httpapi-idempotency-key-header), without I/O.
 
 What is promised: at one gateway, while an entry is kept, the same key with the same request has the same
-answer, and never two runs at once. Across gateways, after a death of this one or an entry's time, work in hand
-at other instances tells where there is such (`lynxreel/takeover/`); else the key is the box's to know, which
-is sent an id that is made of it.
+answer, and never two runs at once. Across gateways, after a death of this one or an entry's time, work in
+hand at other instances tells where there is such (`lynxreel/takeover/`); else the key is the box's to know,
+which is sent an id that is made of it.
 """
 
 from __future__ import annotations
--- a/lynxreel/standins/clients.py
+++ b/lynxreel/standins/clients.py
@@ -63,6 +63,7 @@
     address: tuple[str, int]
     up: bool = False
     dead: bool = False  # killed: what it held is the clients' to ask again
+    frail: bool = False  # so are workers of it, now and then
     idle: list[_Link] = field(default_factory=list)
     links: set[_Link] = field(default_factory=set)
 
@@ -286,7 +287,7 @@
 
     def broken(self, gate: Gate, ask: _Ask, begun: bool) -> None:
         """Its connection has ended without an answer."""
-        if gate.dead and self._back:
+        if (gate.dead or gate.frail) and self._back:
             if ask.loss is None:
                 left, came = ask.entry.deadline - self.loop.time(), self.ledger.arrived(ask.number)
                 ask.loss = Loss(ask.entry.cls, left, came)
--- a/lynxreel/takeover/cover.py
+++ b/lynxreel/takeover/cover.py
@@ -11,7 +11,7 @@
 
 from lynxreel.engine.engine import WAY, Attempt, Call, Engine
 from lynxreel.links.mesh import Mesh, Place
-from lynxreel.links.peers import News
+from lynxreel.links.peers import News, State
 from lynxreel.links.rank import Ranks
 from lynxreel.log import log
 from lynxreel.takeover import work as core
@@ -62,7 +62,9 @@
         others = [place for place in plan.others if place.name != plan.own.name]
         incarnation = next_incarnation(Path(plan.folder))
         self.mesh = Mesh(plan.own, incarnation, others, KINDS, self._heard, self._news, loop)
-        zones = {place.name: place.zone for place in (plan.own, *others)}
+        places = (plan.own, *others)
+        zones = {place.name: place.zone for place in places}
+        hosts = {place.name: place.host or place.name for place in places}
         self._classes: dict[str, Class] = {}
         self._store: Store | None = None
         if plan.word is not None:
@@ -74,7 +76,7 @@
             plan.own.name, self._classes, plan.entries, plan.size, plan.wait, plan.keep, plan.sure,
             plan.lease if self._store is not None else 0, plan.drift, plan.copies, incarnation,
         )  # fmt: skip
-        self.work = Work(terms, self.mesh.peers, Ranks(zones))
+        self.work = Work(terms, self.mesh.peers, Ranks(zones, hosts))
         self._tokens = itertools.count(1)
         self._calls: dict[int, Call] = {}  # clients that wait here
         self._timers: dict[int, asyncio.TimerHandle] = {}  # of those that came back
@@ -100,7 +102,8 @@
         """Listen to the others, and wait a moment for them. Raises an OSError where the address is taken."""
         await self.mesh.open()
         last = self._loop.time() + LINKS
-        while len(self.mesh.peers.up()) < len(self.mesh.places) and self._loop.time() < last:
+        others = self.mesh.peers.peers.values()
+        while any(peer.state is State.UNMET for peer in others) and self._loop.time() < last:
             await asyncio.sleep(LINKS / 20)
 
     async def leave(self) -> None:
--- a/lynxreel/takeover/work.py
+++ b/lynxreel/takeover/work.py
@@ -455,7 +455,8 @@
 
     def _inquire(self, token: int, number: bytes, customer: int, effect: Effect) -> Asked:
         """Nothing is known of it here: those that are likely to have it are to be asked."""
-        likely = [name for name in self._ranks.likely(number) if name != self._terms.name]
+        gone = [name for name, peer in self._peers.peers.items() if peer.state is State.DEAD]
+        likely = [name for name in self._ranks.likely(number, gone) if name != self._terms.name]
         asked = self.asked[token] = Asked(number, customer, effect, dict.fromkeys(likely, True))
         self._here[token] = number
         return asked
--- a/lynxreel/workers/supervisor.py
+++ b/lynxreel/workers/supervisor.py
@@ -21,7 +21,7 @@
 
 from lynxreel import __version__
 from lynxreel.config.deploy import changes, fixed
-from lynxreel.config.model import OperatorFile
+from lynxreel.config.model import SIDES, OperatorFile
 from lynxreel.config.read import ConfigError, read
 from lynxreel.daemon.codes import ADDRESS, ADDRESS_TAKEN, BAD_CONFIG, INNER_FAULT, OK, PLACE_TAKEN
 from lynxreel.daemon.notify import Notifier
@@ -48,7 +48,6 @@
 }  # fmt: skip
 TOLD = 0.5  # seconds between writes of the state file
 BIND_TRIES, BIND_PAUSE = 40, 0.05  # workers of a supervisor that died hold its listeners for a moment
-SIDES = "ab"
 
 
 class _Process:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -21,22 +21,22 @@
 
 
 async def another(
-    deployment: Deployment, config: Path | None = None, env: dict[str, str] | None = None
+    deployment: Deployment, config: Path | None = None, env: dict[str, str] | None = None, number: int = 0
 ) -> asyncio.subprocess.Process:
-    """A new supervisor that takes over."""
-    (gateway,) = deployment.gateways
+    """A new supervisor that takes over from a gateway's."""
+    gateway = deployment.gateways[number]
     words = ["-m", "lynxreel.cli.main", "serve", "--config", str(config or gateway.config), "--take-over"]
     whole = {**os.environ, **(env or {})}
-    with open(deployment.folder / "g0.log", "ab") as log:
+    with open(deployment.folder / f"g{number}.log", "ab") as log:
         return await asyncio.create_subprocess_exec(
             sys.executable, *words, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log, env=whole
         )
 
 
-async def succeed(deployment: Deployment) -> None:
+async def succeed(deployment: Deployment, number: int = 0) -> None:
     """A handover that works: the old one has ended, the new one is the gateway."""
-    (gateway,) = deployment.gateways
-    process = await another(deployment)
+    gateway = deployment.gateways[number]
+    process = await another(deployment, number=number)
     await told(gateway, state="ready", pid=process.pid)
     assert await gateway.process.wait() == 0
     gateway.process = process
