Records tell who was lost, what passed to whom, and what became of work in hand

Need: takeovers stood in state.json and lynxreel fleet work only, so what a night had done was gone with the processes.

Change: record lines instance (up, lost, dead, as each sees it) and passed (a request that changed its owner, and how it ended), and work in counts: what was covered, taken over, told again, told as unknown since the line before.

--- a/lynxreel/daemon/serve.py
+++ b/lynxreel/daemon/serve.py
@@ -74,6 +74,8 @@
         if file.records is not None:
             most = int(file.records.most_mb * 1e6)
             self._writer = Writer(file.records.file, most, file.gateway.name)
+        if self.node.cover is not None:
+            self.node.cover.note = self._record
         self._started_at = time.time()
         self._reloads, self._reload_problems = 0, list[str]()
         self._left = 0
@@ -354,6 +356,8 @@
             owed, connections = self.node.engine.owed(), self.node.connections
             counts = {"counts": [], "causes": {}, **content, "owed": owed, "connections": connections}
             counts["stood_ms"] = round(self._stood * 1e3)
+            if self.node.cover is not None:
+                counts["work"] = self.node.cover.since()
             self._record("counts", counts)
 
     async def _show_life(self, every: float) -> None:
--- a/lynxreel/records/format.py
+++ b/lynxreel/records/format.py
@@ -21,7 +21,11 @@
     "undrained": "clients are taken again",
     "draining": "no new connection is taken",
     "stopped": "the end; left: connections that were cut off",
-    "counts": "by class and plan since the line before; causes of refusals and failures; owed, connections",
+    "counts": "by class and plan since the line before; causes of refusals and failures; owed, connections;"
+    " work: with work in hand kept at others, what became of it",
+    "instance": "another one, by name, is up, lost (silent) or dead, as this one sees it",
+    "passed": "a request in hand, by id and class: here from the instance `other`, or from here to another;"
+    " how: carried on, or the answer that it has",
     "gap": "lines that could not be written, and why",
 }
 
--- a/lynxreel/takeover/cover.py
+++ b/lynxreel/takeover/cover.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -18,7 +18,7 @@
 from lynxreel.takeover.calls import Covered, tell
 from lynxreel.takeover.incarnation import next_incarnation
 from lynxreel.takeover.messages import KINDS, Answer, How, Record
-from lynxreel.takeover.work import Ask, Begin, Carry, Class, Give, Go, Leave, Say, Stay, Terms, Work
+from lynxreel.takeover.work import Ask, Begin, Carry, Class, Give, Go, Leave, Passed, Say, Stay, Terms, Work
 from mothgap.interface import Effect, Result, Settings
 
 if TYPE_CHECKING:
@@ -88,6 +88,8 @@
         self._held: dict[tuple[bytes, int], tuple[Attempt, int]] = {}  # attempts, and when their time is over
         self._timer: asyncio.TimerHandle | None = None
         self._due: int | None = None
+        self.note: Callable[[str, dict[str, Any]], None] = lambda kind, content: None  # for the records
+        self._noted = dict(self.work.counts)
 
     def adopt(self, settings: Settings, places: tuple[Mapping[str, int], Mapping[str, int]]) -> None:
         """Go by these settings from now on; `places` of classes and plans by name."""
@@ -128,6 +130,11 @@
         links, incarnation = dict(self.mesh.counts), self.mesh.incarnation
         return {**self.work.view(self._now()), "links": links, "incarnation": incarnation}
 
+    def since(self) -> dict[str, int]:
+        """What has been done since the last call, where it is not nothing."""
+        before, self._noted = self._noted, dict(self.work.counts)
+        return {what: count - before[what] for what, count in self._noted.items() if count != before[what]}
+
     def listed(self) -> dict[str, object]:
         """The same with each request that is in hand."""
         return {**self.told(), "requests": self.work.listed(self._now())}
@@ -274,6 +281,7 @@
 
     def _news(self, news: Iterable[News]) -> None:
         for item in news:
+            self.note("instance", {"name": item.name, "is": type(item).__name__.lower()})
             self._act(self.work.news(self._now(), item))
 
     # --- what is to be done -----------------------------------------------------------------------------
@@ -297,6 +305,9 @@
                     self._carry(action)
                 case Begin():
                     self._begun(action.token)
+                case Passed():
+                    where = {"here": action.here, "other": action.other, "how": action.how}
+                    self.note("passed", {"id": action.id.decode(), "class": action.cls, **where})
                 case Leave():
                     if (covered := self._by_id.pop(action.id, None)) is not None:
                         covered.over = True
--- a/lynxreel/takeover/work.py
+++ b/lynxreel/takeover/work.py
@@ -126,6 +126,17 @@
     moved: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Passed:
+    """For the operators: a request has passed to this instance, or from this one to another."""
+
+    id: bytes
+    cls: str
+    here: bool
+    other: str  # whose it was, if it is here now
+    how: str  # what became of it then
+
+
 @dataclass(frozen=True, slots=True)
 class Ask:
     """Write this instance's word about these copies, unless there is one; `word` follows."""
@@ -134,7 +145,7 @@
     owner: bool  # as the owner; else as the keeper
 
 
-Action: TypeAlias = Say | Go | Stay | Carry | Give | Begin | Leave | Ask
+Action: TypeAlias = Say | Go | Stay | Carry | Give | Begin | Leave | Passed | Ask
 
 
 # --- state ----------------------------------------------------------------------------------------------
@@ -568,6 +579,8 @@
             own.answer = final
             self.counts["told_unknown"] += final is UNKNOWN
             self._give_all(own, final)
+        how = "carried on" if own.answer is None else own.answer.how.name.lower()
+        self._out.append(Passed(record.id, record.cls, True, kept.owner, how))
         self._cover(now, own)
         if own.answer is not None:
             return
@@ -763,6 +776,7 @@
             return
         own.taken = epoch
         self.counts["fenced"] += 1
+        self._out.append(Passed(own.record.id, own.record.cls, False, "", "answer asked for"))
         own.parked, own.refusing = None, False
         self._holds.pop((own.record.id, ANSWER), None)
         self._parked.pop(own.record.id, None)
--- a/tests/test_work_in_hand.py
+++ b/tests/test_work_in_hand.py
@@ -10,6 +10,7 @@
 
 from lynxreel.cli.main import main
 from lynxreel.local.deployment import Deployment, Gateway
+from lynxreel.records.reader import read
 from lynxreel.standins.faults import Fault, Kind
 from tests.fleet import BROKEN, Caller, fleet, run
 
@@ -144,6 +145,31 @@
     run(scenario)
 
 
+def test_records_tell_who_was_lost_and_what_passed_to_whom(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with fleet(tmp_path, 3, takeover=True) as deployment:
+            deployment.box_faults.on(Fault(Kind.SLOW, delay=0.5))
+            owner, other, _ = [await Caller.to(gateway) for gateway in deployment.gateways]
+            owner.command(*COMMIT)
+            await until(lambda: came(deployment) == 1)
+            deployment.gateways[0].process.kill()
+            other.command(*back(COMMIT))
+            assert (await other.answer()).startswith(b"-UNKNOWN")
+            await deployment.stop()
+            told = [read(tmp_path / f"g{number}" / "records.jsonl").lines for number in (1, 2)]
+            for lines in told:
+                seen = [(line["name"], line["is"]) for line in lines if line["record"] == "instance"]
+                assert ("g0", "up") in seen and ("g0", "dead") in seen
+            (passed,) = [line for lines in told for line in lines if line["record"] == "passed"]
+            assert (passed["id"], passed["class"], passed["here"]) == ("r1", "port-commit", True)
+            assert (passed["other"], passed["how"]) == ("g0", "unknown")
+            work = [line["work"] for lines in told for line in lines if line["record"] == "counts"]
+            assert sum(one.get("taken_over", 0) for one in work) == 1
+            assert sum(one.get("told_unknown", 0) for one in work) == 1
+
+    run(scenario)
+
+
 def test_operators_see_what_is_in_hand(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     async def scenario() -> None:
         async with fleet(tmp_path, 3, takeover=True, zones=3) as deployment:
