An owner that was stopped past its clients' time gives no units back either

Seen: a test that stops an owner for 10 s at all stages at once (two effects; add out, sent, answered) found both units of what was at the add given back, though the keeper had sent both requests on: [0, 0, 2, 2, 2, 2] on the counter.

Cause: the deadline's timer ends the request in the engine first; Cover._ended took it out of the requests in hand before unsure() looked, and the Expired that followed settled it.

Change: what ends while its owner may not act is told to the module as unsure before what it hears next.

--- a/lynxreel/takeover/cover.py
+++ b/lynxreel/takeover/cover.py
@@ -85,6 +85,7 @@
         self._by_id: dict[bytes, Covered] = {}
         self._lapsed: frozenset[str] = frozenset()  # keepers whose right had ended at the last look
         self._unsure: set[int] = set()  # what could not be acted on then
+        self._ended_unsure: set[int] = set()  # what has ended since, and could not be acted on when it did
         self._held: dict[tuple[bytes, int], tuple[Attempt, int]] = {}  # attempts, and when their time is over
         self._timer: asyncio.TimerHandle | None = None
         self._due: int | None = None
@@ -224,6 +225,8 @@
             return
         if self._by_id.get(covered.id) is covered:
             del self._by_id[covered.id]
+        if not self.work.may(self._now(), covered.id):
+            self._ended_unsure.add(covered.request)  # its time was up, say: the module hears of it later
         waits = covered.token in self._calls
         self._act(self.work.finished(self._now(), covered.id, answer), (covered.token, value))
         if not isinstance(value, bytes) and not (waits and covered.token not in self._calls):
@@ -246,14 +249,16 @@
 
         No work is put at a keeper whose right has ended: there is nothing new while no other's has.
         """
-        lapsed = self.work.lapsed(self._now())
-        if lapsed == self._lapsed and not self._unsure:
+        now = self._now()
+        lapsed = self.work.lapsed(now)
+        if lapsed == self._lapsed and not self._unsure and not self._ended_unsure:
             return ()
-        self._lapsed, before, now = lapsed, self._unsure, self._now()
+        ended, self._ended_unsure = self._ended_unsure, set()
+        self._lapsed, before = lapsed, self._unsure
         open_now = (covered for covered in self._covered.values() if covered.accepted)
         self._unsure = {covered.request for covered in open_now if not self.work.may(now, covered.id)}
-        changed = [(request, False) for request in before - self._unsure]
-        return changed + [(request, True) for request in self._unsure - before]
+        changed = [(request, False) for request in before - self._unsure - ended]
+        return changed + [(request, True) for request in (self._unsure | ended) - before]
 
     def send(self, attempt: Attempt, timeout: int) -> None:
         """Start an attempt, as soon as that is down where it has to be."""
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -74,6 +74,54 @@
     run(scenario)
 
 
+def test_an_owner_that_is_stopped_for_ten_seconds_at_all_stages_at_once(tmp_path: Path) -> None:
+    """Longer than any of its clients waits: effects run once, units are taken once, no two values differ."""
+
+    async def scenario() -> None:
+        async with wired(tmp_path) as (deployment, _):
+            await ready(deployment)
+            calls = [
+                [call[0], f"{200 + number:016x}", f"{stage.replace(' ', '-')}-{call[0][5:]}", *call[3:]]
+                for number, (stage, call) in enumerate((s, c) for s in STAGES for c in (COMMIT, LOOKUP))
+            ]
+            out, sent, answered = calls[:2], calls[2:4], calls[4:]
+            gateway, customers = deployment.gateways[0], range(200, 206)
+            owners = {call[2]: await Caller.to(gateway) for call in calls}
+            for call in answered:
+                owners[call[2]].command(*call)
+                assert await owners[call[2]].answer() == b"done " + call[2].encode()
+            deployment.box_faults.on(Fault(Kind.SLOW, delay=0.3))
+            for call in sent:
+                owners[call[2]].command(*call)
+            await until(lambda: came(deployment) == 4)
+            deployment.counter_faults.on(Fault(Kind.SLOW, delay=0.3))
+            for call in out:
+                owners[call[2]].command(*call)
+            await until(lambda: all(added(deployment, customer) for customer in customers))
+            while sum([(await work_of(deployment.gateways[n]))["kept_for"].get("g0", 0) for n in (1, 2)]) < 6:
+                await asyncio.sleep(0)
+            gateway.process.send_signal(signal.SIGSTOP)
+            stopped = asyncio.get_running_loop().time()
+            others = {call[2]: await Caller.to(deployment.gateways[1]) for call in calls}
+            for call in calls:
+                others[call[2]].command(*back(call))
+            answers = {number: await caller.answer() for number, caller in others.items()}
+            unknown = sent[0][2]
+            assert answers.pop(unknown).startswith(b"-UNKNOWN")
+            assert answers == {number: b"done " + number.encode() for number in answers}
+            await asyncio.sleep(10.0 - (asyncio.get_running_loop().time() - stopped))
+            gateway.process.send_signal(signal.SIGCONT)
+            await asyncio.sleep(1.0)
+            for call in out + sent:
+                late = await owners[call[2]].answer()
+                if call[0] == COMMIT[0]:  # nobody is told that what has run has not
+                    assert late.startswith((b"-UNKNOWN", b"-ERR", answers.get(call[2], b"-UNKNOWN"))), late
+            assert came(deployment) == 7  # four before; the lookup that was sent, and the two that were not
+            assert [added(deployment, customer) for customer in customers] == [2.0] * 6
+
+    run(scenario)
+
+
 def test_links_that_are_slower_than_a_lease_leave_one_run_and_one_answer(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with wired(tmp_path) as (deployment, _):
