Loads of all three effects: half a fleet is killed under them, boxes drop repeats by key

Need: the stand-in load had repeatable effects and those that run once; nothing played effects by key under a kill.

--- a/lynxreel/local/deployment.py
+++ b/lynxreel/local/deployment.py
@@ -21,7 +21,7 @@
 from lynxreel.local.night import Deed
 from lynxreel.standins import traffic, world
 from lynxreel.standins.base import Clock, Listener
-from lynxreel.standins.box import Box, BoxLink, Resp2Link, open_boxes
+from lynxreel.standins.box import Box, BoxLink, Keys, Resp2Link, open_boxes
 from lynxreel.standins.clients import Front, Gate
 from lynxreel.standins.counter import Counter
 from lynxreel.standins.faults import Fault, Faults
@@ -73,15 +73,16 @@
         self, folder: Path, gateways: int, rate: float, seed: int, boxes: int = 0,
         edit: Callable[[str], str] = str, env: Mapping[str, str] | None = None, http: bool = False,
         link: Callable[[Listener, Box], BoxLink] = Resp2Link, workers: int = 0, takeover: bool = False,
-        zones: int = 1, wires: bool = False,
+        zones: int = 1, wires: bool = False, keyed: bool = False,
     ) -> None:  # fmt: skip
         """`takeover`: work in hand is kept at others, and clients come back for it; `zones` of instances;
         `wires`: what each says to each other passes through a stand-in that can fail.
         `edit` has the last word on operator files; `env` is added to the gateways' environment; `http`:
-        each gateway has an HTTP front, too; `link`: what boxes speak; `workers`: of each gateway."""
+        each gateway has an HTTP front, too; `link`: what boxes speak; `workers`: of each gateway;
+        `keyed`: the load has effects under keys, too."""
         self._edit, self._env = edit, {**os.environ, "PYTHONUNBUFFERED": "1", **(env or {})}
         self.folder, self.count, self.rate, self.seed = folder, gateways, rate, seed
-        self.plans = world.PLANS
+        self.plans, self.classes = world.PLANS, world.ALL if keyed else world.CLASSES
         self.ledger = Ledger(self.plans)
         clock = Clock(asyncio.get_running_loop())
         self.box_faults, self.counter_faults = Faults(seed), Faults(seed + 1)
@@ -91,7 +92,7 @@
         self.boxes: list[Box] = []
         self._entries: dict[str, Entry] = {}  # of the boxes, as they are listed at first
         self.left: dict[str, float] = {}  # when a box was announced as leaving
-        self._box_count, self._clock = boxes or files.boxes_for(rate), clock
+        self._box_count, self._clock = boxes or files.boxes_for(rate, self.classes), clock
         self.gateways: list[Gateway] = []
         self._http, self._link, self._workers = http, link, workers
         self._takeover, self._zones = takeover, zones
@@ -111,8 +112,9 @@
         await self.registry.listener.open()
         faults, clock = self.box_faults, self._clock
         self.boxes = await open_boxes(
-            self._box_count, self.seed, world.WORK, self.ledger, faults, clock, link=self._link
-        )
+            self._box_count, self.seed, world.WORK, self.ledger, faults, clock, link=self._link,
+            keys=Keys(world.KEY_MEMORY),
+        )  # fmt: skip
         self._entries = {box.name: entry(box.name, box.listener.address) for box in self.boxes}
         self.registry.put(*self._entries.values())
         # Held until all are drawn, so that no two gateways are given the same port.
@@ -155,8 +157,9 @@
         listen, counter, discovery = (f"{host}:{port}" for host, port in places)
         path = self.folder / f"g{number}.toml"
         text = files.operator_file(
-            self.folder, number, self.count, listen, discovery, counter, self.plans, self._workers
-        )
+            self.folder, number, self.count, listen, discovery, counter, self.plans, self._workers,
+            self.classes,
+        )  # fmt: skip
         if number in self.http_at:
             text += web.table(self.folder, self.http_at[number])
         if self.links:
@@ -224,8 +227,8 @@
 
     async def play(self, seconds: float) -> None:
         """Ask at the rate, for so long."""
-        who = traffic.customers(self.seed, self.rate, self.plans, world.CLASSES, self.count)
-        await self.front.play(traffic.wishes(self.seed + 1, who, world.CLASSES), seconds)
+        who = traffic.customers(self.seed, self.rate, self.plans, self.classes, self.count)
+        await self.front.play(traffic.wishes(self.seed + 1, who, self.classes), seconds)
 
     def do(self, what: str, numbers: tuple[int, ...]) -> None:
         """Kill, drain, reload or stop some gateways at once; a kill ends their workers, too."""
--- a/lynxreel/local/files.py
+++ b/lynxreel/local/files.py
@@ -7,12 +7,13 @@
 
 from lynxreel.protocol.address import Address
 from lynxreel.standins.ledger import Quota
-from lynxreel.standins.world import AIMS, CLASSES, CORES, LOAD, WORK, WORTH
+from lynxreel.standins.traffic import Class
+from lynxreel.standins.world import AIMS, CLASSES, CORES, KEY_MEMORY, LOAD, WORK, WORTH
 
 
-def boxes_for(rate: float) -> int:
+def boxes_for(rate: float, classes: Sequence[Class] = CLASSES) -> int:
     """Boxes that so many first tries a second keep busy to LOAD."""
-    work = sum(cls.share * WORK[cls.name] for cls in CLASSES)
+    work = sum(cls.share * WORK[cls.name] for cls in classes) / sum(cls.share for cls in classes)
     return max(4, -int(-rate * work // (CORES * LOAD)))
 
 
@@ -33,7 +34,7 @@
 
 def operator_file(
     folder: Path, number: int, gateways: int, listen: str, discovery: str, counter: str,
-    plans: dict[str, Quota], workers: int = 0,
+    plans: dict[str, Quota], workers: int = 0, classes: Sequence[Class] = CLASSES,
 ) -> str:  # fmt: skip
     """The text of one instance's file."""
     parts = [f"""\
@@ -61,8 +62,9 @@
 file = "{folder / f"g{number}" / "records.jsonl"}"
 most_mb = 4.0
 """]
-    for cls in CLASSES:
-        effect = "once" if cls.unsafe else "repeatable"
+    for cls in classes:
+        effect = "by_key" if cls.keyed else "once" if cls.unsafe else "repeatable"
+        memory = f"key_memory_ms = {int(KEY_MEMORY * 1e3)}\n" if cls.keyed else ""
         parts.append(f"""
 [[classes]]
 name = "{cls.name}"
@@ -70,7 +72,7 @@
 aim_ms = {AIMS[cls.name]}
 deadline_ms = {int(cls.deadline * 1e3)}
 worth = {WORTH[cls.name]}
-""")
+{memory}""")
     for name, quota in plans.items():
         text = f'\n[[plans]]\nname = "{name}"\nrate = {quota.rate}\nburst = {quota.burst}\n'
         if quota.ceiling_rate > 0:
--- a/lynxreel/local/run.py
+++ b/lynxreel/local/run.py
@@ -165,7 +165,7 @@
     link = HttpLink if args.http_boxes else Resp2Link
     deployment = Deployment(
         folder, args.gateways, args.rate, args.seed, args.boxes, http=http, link=link, workers=args.workers,
-        takeover=args.takeover, zones=args.zones, wires=_wired(args),
+        takeover=args.takeover, zones=args.zones, wires=_wired(args), keyed=args.takeover,
     )  # fmt: skip
     loop = asyncio.get_running_loop()
     ended = asyncio.Event()
--- a/lynxreel/standins/clients.py
+++ b/lynxreel/standins/clients.py
@@ -204,6 +204,8 @@
         words = [b"CALL.POST" if wish.cls.unsafe else b"CALL.GET", b"%016x" % customer.number, number, terms]
         if wish.cls.unsafe:
             words.append(b"body")
+        if wish.cls.keyed:
+            words[3] += b",k=w%d" % wanted.origin
         entry = Try(
             wanted.origin, wish.cls.name, wish.cls.unsafe, customer.plan, customer.number, wish.cls.units,
             gate.name, 0.0, 0.0, wanted.tries > 0,
--- a/lynxreel/standins/traffic.py
+++ b/lynxreel/standins/traffic.py
@@ -22,6 +22,7 @@
     share: float
     units: float
     deadline: float
+    keyed: bool = False  # a repeat under its key does not run again
 
 
 @dataclass(frozen=True)
