--- a/lynxreel/local/by_etcd.py
+++ b/lynxreel/local/by_etcd.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+import contextlib
+import signal
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
+from pathlib import Path
 from typing import Any
 
 from lynxreel.etcd import rpc_pb2 as pb
@@ -70,6 +73,45 @@
     return [Box(box.name, box.listener.address, state) for box in deployment.boxes]
 
 
+@contextlib.asynccontextmanager
+async def with_word(
+    folder: Path, gateways: int, lease: int = 200, wait: int = 100, edit: Callable[[str], str] = str,
+    env: Mapping[str, str] | None = None, boxes: int = 6, keyed: bool = False, seed: int = 1,
+    word: bool = True,
+) -> AsyncIterator[tuple[Deployment, Cluster]]:  # fmt: skip
+    """Instances in zones of their own whose links can fail, with the fleet's word in a stand-in etcd.
+
+    `lease` and `wait` are the milliseconds of `[takeover]`; `word`: whether it is asked.
+    """
+    cluster = Cluster()
+    await cluster.etcd.open()
+    by_etcd = operator((cluster,))
+
+    def whole(text: str) -> str:
+        asked = f"word = {str(word).lower()}\nlease_ms = {lease}\nwait_ms = {wait}\n"
+        return edit(by_etcd(text)).replace("[takeover]\n", f"[takeover]\n{asked}")
+
+    deployment = Deployment(
+        folder, gateways, 50.0, seed, boxes, whole, env, takeover=True, zones=gateways, wires=True,
+        keyed=keyed,
+    )  # fmt: skip
+    starting = asyncio.ensure_future(deployment.start())
+    try:
+        while len(deployment.boxes) < boxes:
+            await asyncio.sleep(0.01)
+        cluster.put(*listed(deployment))
+        await starting
+        yield deployment, cluster
+    finally:
+        starting.cancel()
+        deployment.close()
+        cluster.etcd.close()
+        for gateway in deployment.gateways:
+            with contextlib.suppress(ProcessLookupError):
+                gateway.process.send_signal(signal.SIGCONT)
+            await gateway.process.wait()
+
+
 def operator(clusters: Iterable[Cluster], more: str = "") -> Callable[[str], str]:
     """What makes an operator file take its boxes from there; `more` goes into the table."""
 
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -5,51 +5,25 @@
 import os
 import signal
 import time
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
 import pytest
 
 from lynxreel.jsonlines import ask
-from lynxreel.local.by_etcd import Cluster, listed, operator
+from lynxreel.local.by_etcd import Cluster, with_word
 from lynxreel.local.deployment import Deployment, Gateway
 from lynxreel.standins.faults import Fault, Kind
 from tests.fleet import Caller, run
 from tests.test_work_in_hand import COMMIT, added, back, came, news_of, patiently, until
 
 
-@contextlib.asynccontextmanager
-async def wired(
+def wired(
     folder: Path, gateways: int = 3, lease: int = 200, env: Mapping[str, str] | None = None
-) -> AsyncIterator[tuple[Deployment, Cluster]]:
+) -> contextlib.AbstractAsyncContextManager[tuple[Deployment, Cluster]]:
     """Instances whose links can fail, with a word in a stand-in etcd."""
-    cluster = Cluster()
-    await cluster.etcd.open()
-    by_etcd = operator((cluster,))
-
-    def edit(text: str) -> str:
-        word = f"[takeover]\nword = true\nlease_ms = {lease}\nwait_ms = 100\n"
-        return patiently(by_etcd(text)).replace("[takeover]\n", word)
-
-    deployment = Deployment(
-        folder, gateways, 50.0, 1, 6, edit, env, takeover=True, zones=gateways, wires=True
-    )
-    starting = asyncio.ensure_future(deployment.start())
-    try:
-        while len(deployment.boxes) < 6:
-            await asyncio.sleep(0.01)
-        cluster.put(*listed(deployment))
-        await starting
-        yield deployment, cluster
-    finally:
-        starting.cancel()
-        deployment.close()
-        cluster.etcd.close()
-        for gateway in deployment.gateways:
-            with contextlib.suppress(ProcessLookupError):
-                gateway.process.send_signal(signal.SIGCONT)
-            await gateway.process.wait()
+    return with_word(folder, gateways, lease, edit=patiently, env=env)
 
 
 def words(cluster: Cluster) -> list[bytes]:
