--- a/lynxreel/cli/fleet.py
+++ b/lynxreel/cli/fleet.py
@@ -28,7 +28,7 @@
         return BAD_CONFIG
     target = View(gateways, before) if gateways else files[0].view
     for file in files:
-        for name, place in _instances(file):
+        for name, place in instances(file):
             if place.held():  # one whose lock is free has ended, and holds nothing
                 running[name] = _view(place, max(1, file.gateway.workers))
     advice = advise(target, running)
@@ -48,7 +48,7 @@
         print(wrong, file=sys.stderr)
         return BAD_CONFIG
     for file in files:
-        for name, place in _instances(file):
+        for name, place in instances(file):
             if not place.held():
                 told[name] = "it does not run"
                 continue
@@ -61,7 +61,7 @@
     return WAIT if unknown else 0
 
 
-def _instances(file: OperatorFile) -> list[tuple[str, Place]]:
+def instances(file: OperatorFile) -> list[tuple[str, Place]]:
     """A gateway's instances, by the names that they are shown under."""
     name, places = file.gateway.name, Place(file.state.folder).instances()
     if file.gateway.workers <= 1:
--- a/lynxreel/cli/main.py
+++ b/lynxreel/cli/main.py
@@ -109,6 +109,14 @@
     return fleet(args.config, args.gateways, args.before)
 
 
+def _zones(args: argparse.Namespace) -> int:
+    from lynxreel.cli.zones import order, show
+
+    if args.act is None:
+        return show(args.config)
+    return order(args.config, args.act, args.zone, args.dry_run)
+
+
 def _standin(args: argparse.Namespace) -> int:
     from lynxreel.standins.program import run
 
@@ -211,6 +219,20 @@
     fleet.add_argument("--before", type=int, default=0, help="likewise, while it changes")
     fleet.set_defaults(run=_fleet)
 
+    zones = commands.add_parser("zones", help="the fleet's word on zones, and what is seen and used")
+    zones.add_argument("--config", type=Path, action="append", required=True, metavar="FILE")
+    acts = zones.add_subparsers(dest="act", metavar="ACT")
+    for what, text in (
+        ("leave", "have the fleet leave a zone, in its steps, and stay away"),
+        ("return", "have it come back, in its steps, whatever the rest that is left"),
+        ("hold", "have a zone stay as it is"),
+        ("free", "take such an order back"),
+    ):
+        act = acts.add_parser(what, help=text)
+        act.add_argument("zone")
+        act.add_argument("--dry-run", action="store_true", help="only say what would follow now")
+    zones.set_defaults(run=_zones)
+
     standin = commands.add_parser("standin", help="one stand-in as a process, with faults on demand")
     if words[:1] == ["standin"]:
         from lynxreel.standins import program
--- a/lynxreel/config/deploy.py
+++ b/lynxreel/config/deploy.py
@@ -23,13 +23,14 @@
     from lynxreel.sources.files import FileList
     from lynxreel.links.mesh import Plan as LinksPlan
     from lynxreel.takeover.cover import Plan as TakeoverPlan
+    from lynxreel.zones.shell import Plan as ZonesPlan
 
 MS = 1_000  # microseconds
 FIXED = (  # only at a start
     "gateway.name", "gateway.number", "gateway.workers", "supervisor", "state", "records", "operations",
     "counter.guard", "counter.beat_ms", "boxes.file", "boxes.etcd", "boxes.most_removed",
     "boxes.removed_within_ms", "limits.held_mb", "http.listen", "http.repeat_keys", "http.repeat_ms",
-    "links", "takeover",
+    "links", "takeover", "zones",
 )  # fmt: skip
 Known = TypeVar("Known")
 
@@ -70,6 +71,7 @@
         report_fields=boxes.load_report,
         report_by_probe=boxes.load_report_by_probe,
         ask_for_list=not boxes.discovery_agent,
+        zone=boxes.zones.index(file.links.zone) if file.links and file.links.zone in boxes.zones else 0,
     )
     names = Names(
         classes={c.name: class_places[c.name] for c in file.classes},
@@ -93,6 +95,7 @@
         int(limits.held_mb * 1e6),
         links=_links(file),
         takeover=_takeover(file),
+        zones=_zones(file, names),
     )
 
 
@@ -158,7 +161,7 @@
 
 def _links(file: model.OperatorFile) -> LinksPlan | None:
     """Who the other instances are; nothing where nobody speaks to them."""
-    if (links := file.links) is None or file.takeover is None:
+    if (links := file.links) is None or (file.takeover is None and file.zones is None):
         return None
     from lynxreel.links.mesh import Place, Plan  # here: only where it is configured
 
@@ -167,6 +170,22 @@
     return Plan(own, tuple(others), file.state.folder)
 
 
+def _zones(file: model.OperatorFile, names: Names) -> ZonesPlan | None:
+    """How zones are left as a fleet; nothing where the file does not ask for it."""
+    if (entry := file.zones) is None or file.boxes.etcd is None:
+        return None
+    from lynxreel.zones.shell import Plan  # here: only where it is configured
+    from lynxreel.zones.store import Plan as StorePlan
+    from lynxreel.zones.word import Terms
+
+    terms = Terms(
+        leave_ms=entry.leave_ms, back_ms=entry.back_ms, rest_ms=entry.rest_ms, trial_ms=entry.trial_ms,
+        least_witnesses=entry.least_witnesses, most_away=entry.most_away, hold_ms=entry.hold_ms,
+    )  # fmt: skip
+    store = StorePlan(etcd_options(file.boxes.etcd), f"{file.boxes.etcd.prefix}zones")
+    return Plan(store, {number: name for name, number in names.zones.items()}, terms)
+
+
 def _takeover(file: model.OperatorFile) -> TakeoverPlan | None:
     """Who keeps work in hand; nothing where the file does not ask for it."""
     if (entry := file.takeover) is None:
--- a/lynxreel/config/model.py
+++ b/lynxreel/config/model.py
@@ -337,6 +337,18 @@
     )
 
 
+class Zones(_Table):
+    """Leaving a zone that fails as a fleet, by one word in boxes.etcd, and coming back in steps."""
+
+    leave_ms: int = Field(default=150, ge=50, le=60_000, description="for each step of leaving")
+    rest_ms: int = Field(default=2_000, ge=100, le=600_000, description="before it is tried; doubles")
+    trial_ms: int = Field(default=1_000, ge=100, le=600_000, description="that a trial goes well for")
+    back_ms: int = Field(default=1_500, ge=100, le=600_000, description="for each step of returning")
+    hold_ms: int = Field(default=10_000, ge=1_000, le=3_600_000, description="for which the last word holds")
+    most_away: int = Field(default=1, ge=1, le=100, description="zones that may be left at once")
+    least_witnesses: int = Field(default=2, ge=2, le=1_000, description="instances that must see it fail")
+
+
 class OperatorFile(_Table):
     """The whole file."""
 
@@ -355,6 +367,7 @@
     fleet: Fleet | None = None
     links: Links | None = None
     takeover: Takeover | None = None
+    zones: Zones | None = None
 
     @property
     def view(self) -> View:
@@ -363,6 +376,17 @@
             return View(self.gateway.gateways)
         return View(self.fleet.gateways, self.fleet.before)
 
+    def _check_zones(self, entry: Zones) -> None:
+        """Guards against a fleet that could never have a word in common."""
+        if self.links is None or self.boxes.etcd is None:
+            raise ValueError("zones goes with links and boxes.etcd: who sees what, where the word is kept")
+        known = self.boxes.zones
+        for zone in (self.links.zone, *(peer.zone for peer in self.links.peers)):
+            if zone not in known:
+                raise ValueError(f"zones: an instance of links is in zone {zone!r}, which boxes.zones lacks")
+        if entry.most_away >= len(known):
+            raise ValueError(f"zones.most_away {entry.most_away} leaves none of {len(known)} zones: lower it")
+
     def _check_links(self) -> None:
         """Guards against workers' addresses that are none, or another gateway's."""
         if self.links is None or not self.gateway.workers:
@@ -402,6 +426,8 @@
         if self.takeover is not None and self.takeover.word and self.boxes.etcd is None:
             raise ValueError("takeover.word goes with boxes.etcd: it is written there")
         self._check_links()
+        if self.zones is not None:
+            self._check_zones(self.zones)
         longest = max(cls.deadline_ms for cls in self.classes)
         if self.drain.deadline_ms < longest:
             raise ValueError(
--- a/lynxreel/daemon/inspect.py
+++ b/lynxreel/daemon/inspect.py
@@ -16,7 +16,7 @@
 from lynxreel.jsonlines import ask
 from lynxreel.node import Deployment
 from mothgap.interface import Counted, CountedLate, Result
-from mothgap.rules import count_name, window
+from mothgap.names import count_name, window
 
 TRIES, PAUSE = 40, 0.05  # calls until the connection is up, and seconds between them
 NO_SUCH, NO_ANSWER, BAD_CONFIG = 66, 69, 78
--- a/lynxreel/daemon/serve.py
+++ b/lynxreel/daemon/serve.py
@@ -74,8 +74,9 @@
         if file.records is not None:
             most = int(file.records.most_mb * 1e6)
             self._writer = Writer(file.records.file, most, file.gateway.name)
-        if self.node.cover is not None:
-            self.node.cover.note = self._record
+        for noted in (self.node.cover, self.node.zones):
+            if noted is not None:
+                noted.note = self._record
         self._started_at = time.time()
         self._reloads, self._reload_problems = 0, list[str]()
         self._left = 0
@@ -130,6 +131,9 @@
             answers |= {"call": lambda asked: self.call(str(asked["line"]).encode()).decode().strip()}
             if (cover := self.node.cover) is not None:
                 answers["work"] = lambda asked: cover.listed()
+            if (zones := self.node.zones) is not None:
+                answers["zones"] = lambda asked: zones.told()
+                answers["zone"] = lambda asked: zones.order(asked["zone"], asked["order"], asked["dry"])
             self._queries, _ = await listen(answers, str(path))
         except OSError as wrong:
             log(f"queries can't be answered, serving goes on: {path}: {wrong}")
@@ -319,6 +323,8 @@
             told["counter"] = guard.told()
         if self.node.cover is not None:
             told["takeover"] = self.node.cover.told()
+        if self.node.zones is not None:
+            told["zones"] = self.node.zones.told()
         if self._file.boxes.etcd is not None:
             told["settings"] = {"revision": self._settings_revision, "problems": self._settings_problems}
         try:
--- a/lynxreel/engine/engine.py
+++ b/lynxreel/engine/engine.py
@@ -7,7 +7,7 @@
 import time
 import traceback
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
@@ -183,6 +183,7 @@
         self.tally: Tally | None = None
         self.peers: Peers | None = None
         self.watch: Watch | None = None
+        self.sees: Callable[[str, api.Result], None] | None = None  # how attempts at servers end
         self._settings = settings
         self._loop = loop
         self._module = Gateway(settings, seed, self.clock.now())
@@ -230,6 +231,11 @@
         self._news.append(api.Share(part))
         self._schedule()
 
+    def use(self, parts: Mapping[int, float]) -> None:
+        """Use these parts of zones' servers from now on, and all of the others'."""
+        self._news.append(api.ZoneParts(tuple(parts.items())))
+        self._schedule()
+
     def believes(self, customer: int) -> dict[str, float]:
         """What the module knows of a customer's use, for the operators."""
         return self._module.believes(customer)
@@ -260,6 +266,8 @@
         attempt.held.unsent += result is api.Result.NOT_SENT
         if self.watch is not None:
             self.watch.ended(attempt, result)
+        if self.sees is not None:
+            self.sees(attempt.server, result)
         if result is api.Result.OK and (closed := self._close(attempt.request, "served")) is not None:
             closed.call.served(value)
         elif not isinstance(value, bytes):
--- a/lynxreel/local/by_etcd.py
+++ b/lynxreel/local/by_etcd.py
@@ -20,6 +20,7 @@
 from mothgap.interface import State
 
 PREFIX = "/lx/"
+ZONES = "\n[zones]\nrest_ms = 700\ntrial_ms = 300\nback_ms = 400\n"  # quicker than in service
 
 
 class Cluster:
@@ -68,20 +69,24 @@
         return self.revision
 
 
-def listed(deployment: Deployment, state: State = State.READY) -> list[Box]:
-    """A deployment's boxes as etcd is told of them."""
-    return [Box(box.name, box.listener.address, state) for box in deployment.boxes]
+def listed(deployment: Deployment, state: State = State.READY, zones: int = 0) -> list[Box]:
+    """A deployment's boxes as etcd is told of them; in so many zones, dealt out in turn."""
+    return [
+        Box(box.name, box.listener.address, state, zone=f"z{n % zones}" if zones else "")
+        for n, box in enumerate(deployment.boxes)
+    ]
 
 
 @contextlib.asynccontextmanager
 async def with_word(
     folder: Path, gateways: int, lease: int = 200, wait: int = 100, edit: Callable[[str], str] = str,
     env: Mapping[str, str] | None = None, boxes: int = 6, keyed: bool = False, seed: int = 1,
-    word: bool = True,
+    word: bool = True, rate: float = 50.0, zones: int = 0,
 ) -> AsyncIterator[tuple[Deployment, Cluster]]:  # fmt: skip
     """Instances in zones of their own whose links can fail, with the fleet's word in a stand-in etcd.
 
-    `lease` and `wait` are the milliseconds of `[takeover]`; `word`: whether it is asked.
+    `lease` and `wait` are the milliseconds of `[takeover]`; `word`: whether it is asked; `zones`: so many, of
+    boxes too, that are left as a fleet.
     """
     cluster = Cluster()
     await cluster.etcd.open()
@@ -89,17 +94,21 @@
 
     def whole(text: str) -> str:
         asked = f"word = {str(word).lower()}\nlease_ms = {lease}\nwait_ms = {wait}\n"
-        return edit(by_etcd(text)).replace("[takeover]\n", f"[takeover]\n{asked}")
+        text = edit(by_etcd(text)).replace("[takeover]\n", f"[takeover]\n{asked}")
+        if zones:
+            names = ", ".join(f'"z{n}"' for n in range(zones))
+            text = text.replace("[boxes]\n", f"[boxes]\nzones = [{names}]\n") + ZONES
+        return text
 
     deployment = Deployment(
-        folder, gateways, 50.0, seed, boxes, whole, env, takeover=True, zones=gateways, wires=True,
-        keyed=keyed,
+        folder, gateways, rate, seed, boxes, whole, env, takeover=True, zones=zones or gateways,
+        wires=True, keyed=keyed,
     )  # fmt: skip
     starting = asyncio.ensure_future(deployment.start())
     try:
         while len(deployment.boxes) < boxes:
             await asyncio.sleep(0.01)
-        cluster.put(*listed(deployment))
+        cluster.put(*listed(deployment, zones=zones))
         await starting
         yield deployment, cluster
     finally:
--- a/lynxreel/node.py
+++ b/lynxreel/node.py
@@ -36,6 +36,8 @@
     from lynxreel.sources.files import FileList, WatchedFile
     from lynxreel.takeover.cover import Cover
     from lynxreel.takeover.cover import Plan as TakeoverPlan
+    from lynxreel.zones.shell import Plan as ZonesPlan
+    from lynxreel.zones.shell import Zones
 
 FIRST_NEWS = 0.1  # seconds that a start waits for discovery, and for the counter, before it goes on without
 OWN_SOCKETS = 32  # descriptors for the counter, discovery, the loop and the standard streams
@@ -73,6 +75,7 @@
     peers: PeerPlan | None = None  # where `settings.limits.peers` allows messages between gateways
     links: LinksPlan | None = None  # who the other instances are, for those who speak to them
     takeover: TakeoverPlan | None = None  # with links: other instances keep copies of work in hand
+    zones: ZonesPlan | None = None  # with links: a zone that fails is left by all together
 
 
 class Node:
@@ -103,6 +106,11 @@
 
             self.cover = Cover(deployment.takeover, self.engine, self.servers, self.mesh, loop)
             self.cover.adopt(settings, deployment.places)
+        self.zones: Zones | None = None
+        if deployment.zones is not None and self.mesh is not None:
+            from lynxreel.zones.shell import Zones  # here: only where it is configured
+
+            self.zones = Zones(deployment.zones, self.engine, self.mesh, loop)
         desk: Desk = self.cover or self.engine
         doors = doors or OwnDoors(loop)
         self.clients = Clients(desk, self._terms(deployment), clients, loop, doors)
@@ -175,6 +183,8 @@
     def _news(self, members: Members, lines: list[tuple[Member, Address]]) -> None:
         self.servers.update(lines, members.kind is not ListKind.CHANGES)
         self.engine.news(members)
+        if self.zones is not None:
+            self.zones.listed(members)
 
     def _count(self, deployment: Deployment) -> None:
         """Call the counter that the deployment names."""
@@ -244,6 +254,8 @@
             await self.peers.open(self.deployment.peers.listen, self.deployment.peers.beside)
         if self.mesh is not None:
             await self.mesh.open()
+        if self.zones is not None:
+            await self.zones.open()
 
     def hold(self, held: bool) -> None:
         """Hold this instance's share of ceilings from now on, or hand all of it back."""
@@ -396,5 +408,7 @@
             self.counter.close()
         if self.cover is not None:
             self.cover.close()
+        if self.zones is not None:
+            self.zones.close()
         if self.mesh is not None:
             self.mesh.close()  # last: whoever finds its address closed takes this instance for dead
--- a/lynxreel/records/format.py
+++ b/lynxreel/records/format.py
@@ -26,6 +26,7 @@
     "instance": "another one, by name, is up, lost (silent) or dead, as this one sees it",
     "passed": "a request in hand, by id and class: here from the instance `other`, or from here to another;"
     " how: carried on, or the answer that it has",
+    "zone": "what the fleet's word says of a zone from now on: stage, step, epoch, why",
     "gap": "lines that could not be written, and why",
 }
 
--- /dev/null
+++ b/lynxreel/zones/word.py
@@ -0,0 +1,266 @@
+"""The word that a fleet has in common about its zones, and the next one that follows from what is seen.
+
+No I/O. A word says of each zone how far it is in use, and has an epoch that only grows. Whoever may write
+puts the next one in place of the one that it knows, by one compare-and-set in the store; all others follow.
+So there is one writer at a time without a leader, and no two words have one epoch. `following` works out the
+next word from the reports of the witnesses; every instance comes to the same one, and one of them is first.
+
+    IN_USE -> LEAVING (steps) -> AWAY -> TRIAL -> RETURNING (steps) -> IN_USE
+                                  ^---- faltered, rests for longer ----'
+
+A witness is an instance outside the zone whose report is fresh and not blind. Most of those that ought to be
+there have to be heard, so the smaller side of a split decides nothing; of them more than half, from two zones
+where there are two, have to say the same, so a liar or an instance that is cut off moves nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+import msgspec
+
+from lynxreel.zones.evidence import Verdict
+
+
+class Stage(StrEnum):
+    """How far a zone is in use by those outside it."""
+
+    IN_USE = "in use"
+    LEAVING = "leaving"
+    AWAY = "away"
+    TRIAL = "trial"
+    RETURNING = "returning"
+
+
+class Zone(msgspec.Struct, frozen=True):
+    """What the word says of one zone."""
+
+    stage: Stage = Stage.IN_USE
+    step: int = 0  # of LEAVING or RETURNING
+    epoch: int = 0  # of the word that began this
+    at: int = 0  # when this began, milliseconds of the writer's Unix time: for operators, clocks differ
+    flaps: int = 0  # times that it has faltered of late
+    hand: str = ""  # the operators' word, which goes before what is seen: leave, return or hold
+    why: str = ""
+
+
+class Word(msgspec.Struct, frozen=True):
+    """The whole of it; zones that are not named are in use."""
+
+    epoch: int = 0
+    writer: str = ""
+    zones: dict[str, Zone] = {}
+
+    def of(self, zone: str) -> Zone:
+        """What it says of a zone."""
+        return self.zones.get(zone, Zone())
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """At which pace. Times are milliseconds."""
+
+    leave_steps: tuple[float, ...] = (0.5, 0.0)  # shares while it is left
+    leave_ms: int = 150  # for each
+    back_steps: tuple[float, ...] = (0.1, 0.25, 0.5)  # and while it is returned to
+    back_ms: int = 1_500
+    rest_ms: int = 2_000  # that a zone rests before it is tried; doubled with each time that it falters
+    most_rest_ms: int = 60_000
+    trial_ms: int = 1_000  # that a trial has to go well for
+    trials: int = 2  # instances that try for all
+    trial_share: float = 0.5  # what these use of it
+    least_witnesses: int = 2
+    most_away: int = 1  # zones that may be left at once
+    calm_ms: int = 60_000  # in use for so long, and it has never faltered
+    fresh_ms: int = 3_000  # for which a report counts
+    hold_ms: int = 10_000  # for which the last word holds where neither the store nor another one is heard
+
+
+class Report(msgspec.Struct, frozen=True, array_like=True, tag="seen"):
+    """What an instance sees: a verdict for each zone. It is told when it changes, and now and then."""
+
+    verdicts: dict[str, int]
+    blind: bool = False
+    epoch: int = 0  # of the word that it went by
+
+
+@dataclass(frozen=True, slots=True)
+class Witness:
+    """A report as it is held. `at`: milliseconds by the clock of whoever holds it."""
+
+    zone: str  # where the instance itself is
+    report: Report
+    at: int
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """What the witnesses say of one zone."""
+
+    expected: int  # instances outside it that are not known to be dead
+    heard: int  # of these, the ones with a fresh report that is not blind
+    bad: int
+    good: int
+    bad_from: int  # zones that those who say bad are in
+    zones: int  # zones that those expected are in
+
+    def says_bad(self, terms: Terms) -> bool:
+        """Most say that it fails."""
+        enough = 2 * self.heard > self.expected and self.bad >= terms.least_witnesses
+        return enough and 2 * self.bad > self.bad + self.good and self.bad_from >= min(2, self.zones)
+
+    def says_good(self) -> bool:
+        """Some say that it is well, and hardly anybody says otherwise."""
+        return self.good > 0 and 3 * self.bad <= self.good
+
+
+def seen(
+    zone: str, word: Word, places: Mapping[str, str], dead: Iterable[str], reports: Mapping[str, Witness],
+    now: int, terms: Terms,
+) -> Seen:  # fmt: skip
+    """What is said of a zone. `places`: the zone of each instance of the fleet, this one's among them.
+
+    While it is tried and returned to, what was seen before the last step says nothing.
+    """
+    told = word.of(zone)
+    least = told.epoch if told.stage in (Stage.TRIAL, Stage.RETURNING) else 0
+    gone = set(dead)
+    outside = {name: place for name, place in places.items() if place != zone and name not in gone}
+    heard = bad = good = 0
+    accusers = set[str]()
+    for name, place in outside.items():
+        witness = reports.get(name)
+        if witness is None or now - witness.at > terms.fresh_ms or _blind(witness.report):
+            continue
+        if witness.report.epoch < least:
+            continue
+        heard += 1
+        verdict = witness.report.verdicts.get(zone, Verdict.UNKNOWN)
+        bad += verdict == Verdict.BAD
+        good += verdict == Verdict.GOOD
+        if verdict == Verdict.BAD:
+            accusers.add(place)
+    return Seen(len(outside), heard, bad, good, len(accusers), len(set(outside.values())))
+
+
+def _blind(report: Report) -> bool:
+    """It says so, or accuses all zones."""
+    told = report.verdicts.values()
+    return report.blind or (len(report.verdicts) > 1 and all(verdict == Verdict.BAD for verdict in told))
+
+
+def following(
+    follower: Follower, all_seen: Mapping[str, Seen], now: int, at: int, me: str, hand: Mapping[str, str]
+) -> Word | None:
+    """The word that follows; None while this one stands. `now` by the follower's clock, `at` Unix time.
+
+    `hand`: what operators ask for, by zone; "" takes an order back.
+    """
+    word, terms = follower.word, follower.terms
+    changed: dict[str, Zone] = {}
+    away = {zone for zone in all_seen if _left(word.of(zone))}
+    for zone in sorted(all_seen, key=lambda zone: (-all_seen[zone].bad, zone)):
+        before = word.of(zone)
+        if zone in hand and hand[zone] != before.hand:
+            before = _turned(before, at, hand=hand[zone])
+        passed = follower.passed(now, zone)
+        after = _step(before, all_seen[zone], at, passed, terms, len(away - {zone}) < terms.most_away)
+        if _left(after):
+            away.add(zone)
+        if after != word.of(zone):
+            changed[zone] = msgspec.structs.replace(after, epoch=word.epoch + 1)
+    if not changed:
+        return None
+    return Word(word.epoch + 1, me, {**word.zones, **changed})
+
+
+def _left(zone: Zone) -> bool:
+    return zone.stage is not Stage.IN_USE
+
+
+def _turned(zone: Zone, at: int, **changes: object) -> Zone:
+    """The same zone with these changes, from then on."""
+    return msgspec.structs.replace(zone, at=at, **changes)
+
+
+def _step(zone: Zone, said: Seen, at: int, passed: int, terms: Terms, may_leave: bool) -> Zone:
+    """What a zone does next, so long after its last change."""
+    bad = zone.hand == "leave" or (zone.hand != "return" and said.says_bad(terms))
+    if zone.hand == "hold":
+        return zone
+    match zone.stage:
+        case Stage.IN_USE:
+            if bad and may_leave:
+                why = "by hand" if zone.hand == "leave" else f"{said.bad} of {said.heard} see it fail"
+                return _turned(zone, at, stage=Stage.LEAVING, step=0, why=why)
+            if zone.flaps and passed >= terms.calm_ms:
+                return _turned(zone, zone.at, flaps=0)
+        case Stage.LEAVING if passed >= terms.leave_ms:
+            if zone.step + 1 < len(terms.leave_steps):
+                return _turned(zone, at, step=zone.step + 1)
+            return _turned(zone, at, stage=Stage.AWAY, step=0)
+        case Stage.AWAY if zone.hand != "leave":
+            rest = min(terms.most_rest_ms, terms.rest_ms << min(zone.flaps, 10))
+            if passed >= rest or zone.hand == "return":
+                return _turned(zone, at, stage=Stage.TRIAL, why="its rest is over")
+        case Stage.TRIAL | Stage.RETURNING if bad or (zone.hand != "return" and said.bad > said.good):
+            why = "by hand" if zone.hand == "leave" else f"it faltered: {said.bad} bad, {said.good} good"
+            return _turned(zone, at, stage=Stage.AWAY, step=0, flaps=zone.flaps + 1, why=why)
+        case Stage.TRIAL if passed >= terms.trial_ms and said.says_good():
+            return _turned(zone, at, stage=Stage.RETURNING, step=0, why="its trial went well")
+        case Stage.RETURNING if passed >= terms.back_ms and said.says_good():
+            if zone.step + 1 < len(terms.back_steps):
+                return _turned(zone, at, step=zone.step + 1)
+            hand = "" if zone.hand == "return" else zone.hand
+            return _turned(zone, at, stage=Stage.IN_USE, step=0, hand=hand, why="it is back")
+        case _:
+            pass
+    return zone
+
+
+def share(zone: Zone, place: int, terms: Terms) -> float:
+    """What an instance outside a zone uses of it. `place`: in the zone's order of those that are up there."""
+    match zone.stage:
+        case Stage.IN_USE:
+            return 1.0
+        case Stage.LEAVING:
+            return terms.leave_steps[zone.step]
+        case Stage.TRIAL:
+            return terms.trial_share if place < terms.trials else 0.0
+        case Stage.RETURNING:
+            return terms.back_steps[zone.step]
+        case _:
+            return 0.0
+
+
+@dataclass(slots=True)
+class Follower:
+    """The word that one instance goes by. Times are milliseconds of one clock that runs evenly."""
+
+    terms: Terms
+    word: Word = Word()
+    heard_at: int = 0  # when the store, or another instance, was last heard
+    changed: dict[str, int] = field(default_factory=dict)  # when each zone's last change was heard of
+
+    def passed(self, now: int, zone: str) -> int:
+        """For how long what the word says of a zone has been known here."""
+        return now - self.changed.get(zone, -(10**9))
+
+    def hear(self, now: int, word: Word | None) -> bool:
+        """The store or another instance has told its word, None for nothing new; true for a later one."""
+        self.heard_at = now
+        if word is None or word.epoch <= self.word.epoch:
+            return False
+        for zone in word.zones:
+            if word.zones[zone] != self.word.of(zone):
+                self.changed[zone] = now
+        self.word = word
+        return True
+
+    def lost(self, now: int) -> bool:
+        """Out of touch for so long that the word counts for nothing any more."""
+        return now - self.heard_at > self.terms.hold_ms
+
+
--- a/mothgap/interface.py
+++ b/mothgap/interface.py
@@ -304,6 +304,16 @@
     part: float
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneParts:
+    """What part of each zone's servers this gateway uses from now on, 0 to 1; all of a zone not named.
+
+    Over many gateways, that part of them uses each server. The same ones are used as a part grows or shrinks.
+    """
+
+    parts: tuple[tuple[int, float], ...]  # by zone, as `Member.zone`
+
+
 @dataclass(frozen=True, slots=True)
 class ClockShift:
     """How far the clock that all gateways share is ahead of this one's; counts are named by that.
@@ -327,7 +337,7 @@
 
 Event: TypeAlias = (
     Request | Outcome | Started | Counted | CountedLate | Expired | Unsure | Members | Probed | PeerMessage
-    | Timer | NewSettings | ClockShift | Share
+    | Timer | NewSettings | ClockShift | Share | ZoneParts
 )
 
 
--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -18,16 +18,16 @@
 from collections import OrderedDict, deque
 from collections.abc import Iterable
 from itertools import chain, islice
+from zlib import crc32
 
 from mothgap.interface import (
     Action, Cancel, Cause, ClockShift, Count, Counted, CountedLate, Effect, Event, Expired, Fail, Group,
     ListKind, Member, Members, NewSettings, Outcome, PeerMessage, Plan, Refuse, Request, RequestClass, Result,
-    Send, SetTimer, Settings, Share, State, Tell, Timer, Unsure, Watch,
+    Send, SetTimer, Settings, Share, State, Tell, Timer, Unsure, Watch, ZoneParts,
 )  # fmt: skip
 from mothgap.lending import LIFE, Ask, Give, Questions, held_back, in_set, read, write
+from mothgap.names import NAME_LIFE, SECOND, count_name, window
 
-SECOND = 1_000_000  # microseconds
-NAME_LIFE = 60 * SECOND  # microseconds; the longest that the counter keeps a name
 METER_PATIENCE = 0.1  # of the class's aim; how long a request waits for its total
 BREAKER_TRIP = 3  # counter calls failed in a row before requests stop waiting for it: one or two are chance
 TRIAL_EVERY = 4  # counter time-outs between trial calls while the breaker is open: light work for it
@@ -85,17 +85,6 @@
 PACE_TRUST = 10.0  # own answers of a server at which its pace counts as much as the pace of its kind
 
 
-def window(customer: int, plan: Plan, now: int) -> tuple[int, int]:
-    """A customer's window number and its length; edges of different customers fall apart."""
-    length = max(SECOND, min(NAME_LIFE // 2, int(plan.burst / plan.rate * SECOND)))
-    return (now + customer * 7919 % length) // length, length
-
-
-def count_name(customer: int, number: int) -> int:
-    """The name of a customer's count in a window, on the counter service."""
-    return (customer << 24 | number & 0xFFFFFF) & 0xFFFFFFFFFFFFFFFF
-
-
 class _Customer:
     """What this gateway knows of one customer's use. `debt` is units taken and not yet refilled, over all."""
 
@@ -239,6 +228,7 @@
         self._servers: dict[str, _Server] = {}
         self._ready: list[_Server] = []
         self._near: list[_Server] = []  # of these, the ones that this gateway sends to
+        self._zones: dict[int, float] = {}  # zones that the fleet uses in part
         self._kinds: dict[int, _Kind] = {}
         self._warm_of: dict[int, int] = {}  # warm servers by kind, counted at `_warm_at`
         self._warm_at = now - NAME_LIFE
@@ -301,6 +291,9 @@
                 self._shift = event.offset
             case Share():
                 self._on_share(event.part)
+            case ZoneParts():
+                self._zones = dict(event.parts)
+                self._list()
             case NewSettings():
                 self._on_settings(event.settings)
         return self._out
@@ -1183,8 +1176,16 @@
                 server = self._servers[line.server] = _Server(line, self._now, limit, kind)
                 # Chance, not nothing: of hundreds of gateways, each with a small share, some send at once.
                 server.cold_left = self._random.random()
+        self._list()
+
+    def _list(self) -> None:
+        """The servers that this gateway sends to. Of a zone in part use it keeps to the same ones."""
         self._accrue()
-        self._ready = [s for s in self._servers.values() if s.line.state is State.READY]
+        parts, each = self._zones, b"%d/%%b" % self._s.index
+        self._ready = [
+            s for s in self._servers.values() if s.line.state is State.READY
+            and (not parts or crc32(each % s.line.server.encode()) < parts.get(s.line.zone, 1.0) * 2**32)
+        ]  # fmt: skip
         # In large fleets each gateway keeps to a few servers, by its number, and so meets them often enough.
         self._near, self._warm_at = self._ready, self._now - NAME_LIFE
         self._sums_at = self._aside_at = self._now - SUMS_KEPT
--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -20,7 +20,8 @@
     ClockShift, Count, Counter, Effect, Limits, ListKind, Member, Members, Plan, Request, RequestClass,
     Safety, Settings, State,
 )  # fmt: skip
-from mothgap.rules import Gateway, window
+from mothgap.names import window
+from mothgap.rules import Gateway
 from mothgap.settings import Names
 from tests.fleet import Caller, run
 
