What is said of zones and the word that follows, tested by itself and under all orders

Need: the core of leaving a zone had only one test over processes.

Change: tests of evidence (half a zone, all zones at once, a stand-still), of witnesses (a liar, one zone's word alone, half that is heard, the blind, old reports), of the word (steps, faltering, two zones, operators' orders); a walk over all orders of three writers, lost answers and words, deaths and starts (standins/word_orders.py) with three planted faults.

--- a/lynxreel/zones/store.py
+++ b/lynxreel/zones/store.py
@@ -9,7 +9,7 @@
 from lynxreel.etcd import rpc_pb2 as pb
 from lynxreel.etcd.client import Client, EtcdError, Options
 from lynxreel.log import log
-from lynxreel.zones.word import Word
+from lynxreel.zones.word import Word, may_replace
 
 
 @dataclass(frozen=True)
@@ -38,7 +38,7 @@
         Where another one has been written meanwhile, that one stands.
         """
         epoch, revision = self._known
-        if epoch != word.epoch - 1:
+        if not may_replace(epoch, word):
             return await self.read()  # what it follows was told by another instance
         same = pb.Compare(
             key=self._key, target=pb.Compare.MOD, result=pb.Compare.EQUAL, mod_revision=revision
--- a/lynxreel/zones/word.py
+++ b/lynxreel/zones/word.py
@@ -235,6 +235,11 @@
             return 0.0
 
 
+def may_replace(read: int, word: Word) -> bool:
+    """Whether a word may be put in place of the one of this epoch that was read, not just told of."""
+    return word.epoch == read + 1
+
+
 @dataclass(slots=True)
 class Follower:
     """The word that one instance goes by. Times are milliseconds of one clock that runs evenly."""
--- /dev/null
+++ b/tests/test_zone_word.py
@@ -0,0 +1,235 @@
+"""What an instance sees of zones, and the word that follows from what witnesses say; clocks handed in."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from lynxreel.standins import word_orders
+from lynxreel.standins.word_orders import walk
+from lynxreel.zones import evidence
+from lynxreel.zones.evidence import Evidence, Verdict
+from lynxreel.zones.word import (
+    Follower, Report, Seen, Stage, Terms, Witness, Word, Zone, following, seen, share,
+)  # fmt: skip
+from mothgap.interface import Result
+
+MS = 1_000  # microseconds
+TERMS = Terms()
+BAD, GOOD = int(Verdict.BAD), int(Verdict.GOOD)
+
+
+def eyes(boxes: int = 4) -> Evidence:
+    """Of a fleet with so many boxes in each of three zones."""
+    made = Evidence(evidence.Terms())
+    made.listed({f"{zone}{n}": zone for zone in "abc" for n in range(boxes)})
+    return made
+
+
+def failed(made: Evidence, now: int, *boxes: str) -> None:
+    for box in boxes:
+        made.ended(now, box, Result.TIMEOUT)
+
+
+def test_a_zone_is_bad_when_most_of_its_boxes_fail_and_good_when_they_answer_again() -> None:
+    made = eyes()
+    for box in ("a0", "a1", "a2", "a3", "b0"):
+        made.ended(0, box, Result.OK)
+    failed(made, 500 * MS, "a0", "a1")
+    assert made.verdicts(600 * MS) == {"a": Verdict.UNKNOWN, "b": Verdict.GOOD, "c": Verdict.UNKNOWN}
+    failed(made, 700 * MS, "a2")  # what a3 answered before the first failure says nothing of now
+    assert made.verdicts(700 * MS)["a"] is Verdict.BAD
+    for box in ("a0", "a1", "a2"):
+        made.ended(900 * MS, box, Result.ERROR)  # an answer all the same
+    assert made.verdicts(900 * MS)["a"] is Verdict.GOOD
+    assert made.verdicts(5_000 * MS)["a"] is Verdict.UNKNOWN  # long ago
+
+
+def test_half_of_a_zone_is_not_the_zone() -> None:
+    made = eyes()
+    for turn in range(20):
+        failed(made, turn * 50 * MS, "a0", "a1")
+        made.ended(turn * 50 * MS, f"a{2 + turn % 2}", Result.OK)
+    assert made.verdicts(1_000 * MS)["a"] is Verdict.UNKNOWN
+
+
+def test_an_instance_that_sees_all_zones_fail_or_stood_still_is_blind() -> None:
+    made = eyes()
+    failed(made, 0, *[f"{zone}{n}" for zone in "ab" for n in range(4)])
+    assert set(made.verdicts(1).values()) == {Verdict.UNKNOWN} and made.blind(1)
+    made = eyes()
+    failed(made, 0, *[f"a{n}" for n in range(4)])
+    made.stood(1)
+    assert made.verdicts(2)["a"] is Verdict.UNKNOWN and made.blind(2) and not made.blind(2_000 * MS)
+    failed(made, 2_000 * MS, *[f"a{n}" for n in range(4)])
+    assert made.verdicts(2_000 * MS)["a"] is Verdict.BAD
+
+
+PLACES = {f"{zone}{n}": zone for zone in "abc" for n in range(4)}
+
+
+NEW = Word()
+
+
+def said(reports: dict[str, Report], word: Word = NEW, dead: tuple[str, ...] = (), now: int = 0) -> Seen:
+    """What is said of zone c."""
+    held = {name: Witness(PLACES[name], report, 0) for name, report in reports.items()}
+    return seen("c", word, PLACES, dead, held, now, TERMS)
+
+
+def all_say(verdict: int, names: list[str], **more: Any) -> dict[str, Report]:
+    return {name: Report({"a": GOOD, "b": GOOD, "c": verdict}, **more) for name in names}
+
+
+OUTSIDE = [name for name, zone in PLACES.items() if zone != "c"]
+
+
+@pytest.mark.parametrize(
+    ("reports", "bad"),
+    [
+        (all_say(BAD, OUTSIDE), True),
+        (all_say(BAD, OUTSIDE[:3] + OUTSIDE[4:6]), True),
+        (all_say(GOOD, OUTSIDE) | all_say(BAD, OUTSIDE[:1]), False),  # a liar, or one that is cut off
+        (all_say(GOOD, OUTSIDE) | all_say(BAD, OUTSIDE[:4]), False),  # as many say otherwise
+        (all_say(0, OUTSIDE) | all_say(BAD, OUTSIDE[:4]), False),  # of one zone: the way between the two
+        (all_say(0, OUTSIDE) | all_say(BAD, [OUTSIDE[0], OUTSIDE[4]]), True),
+        (all_say(BAD, [OUTSIDE[0], OUTSIDE[1], OUTSIDE[4], OUTSIDE[5]]), False),  # half of them is heard
+        (all_say(BAD, OUTSIDE, blind=True), False),
+        ({name: Report({"a": BAD, "b": BAD, "c": BAD}) for name in OUTSIDE}, False),  # accuse everything
+        (all_say(BAD, [name for name in PLACES if PLACES[name] == "c"]), False),  # see themselves
+    ],
+)
+def test_who_it_takes_to_say_that_a_zone_fails(reports: dict[str, Report], bad: bool) -> None:
+    assert said(reports).says_bad(TERMS) is bad
+
+
+def test_the_dead_are_not_waited_for_and_old_reports_say_nothing() -> None:
+    few = all_say(BAD, [OUTSIDE[0], OUTSIDE[4]])
+    assert not said(few).says_bad(TERMS)
+    assert said(few, dead=tuple(OUTSIDE[1:4] + OUTSIDE[5:])).says_bad(TERMS)
+    assert not said(all_say(BAD, OUTSIDE), now=TERMS.fresh_ms + 1).says_bad(TERMS)
+    tried = Word(7, "a0", {"c": Zone(Stage.TRIAL, epoch=7)})
+    assert said(all_say(BAD, OUTSIDE, epoch=6), tried).bad == 0  # seen before it was tried
+    assert said(all_say(BAD, OUTSIDE, epoch=7), tried).bad == 8
+
+
+WELL, ILL = Seen(8, 8, 0, 8, 0, 2), Seen(8, 8, 8, 0, 2, 2)
+NOTHING = Seen(8, 8, 0, 0, 0, 2)
+
+
+class Play:
+    """One follower and its clock, in milliseconds."""
+
+    def __init__(self, terms: Terms = TERMS) -> None:
+        self.now, self.follower = 1_000_000, Follower(terms)
+        self.words: list[Word] = []
+
+    def wait(self, ms: int, sees: dict[str, Seen], hand: dict[str, str] | None = None) -> None:
+        for _ in range(ms // 50):
+            self.now += 50
+            given = self.follower, {"a": WELL, "b": WELL, "c": WELL} | sees, self.now, self.now, "a0"
+            word = following(*given, hand or {})
+            if word is not None:
+                assert word.epoch == self.follower.word.epoch + 1
+                assert self.follower.hear(self.now, word)
+                self.words.append(word)
+
+    def stages(self, zone: str = "c") -> list[tuple[Stage, int]]:
+        return [(word.of(zone).stage, word.of(zone).step) for word in self.words]
+
+
+L, A, T, R, U = Stage.LEAVING, Stage.AWAY, Stage.TRIAL, Stage.RETURNING, Stage.IN_USE
+
+
+def test_a_zone_is_left_and_returned_to_in_steps() -> None:
+    play = Play()
+    play.wait(400, {"c": ILL})
+    assert play.stages() == [(L, 0), (L, 1), (A, 0)]
+    play.wait(1_500, {"c": NOTHING})
+    assert play.stages()[-1] == (A, 0)
+    play.wait(20_000, {})
+    assert play.stages()[3:] == [(T, 0), (R, 0), (R, 1), (R, 2), (U, 0)]
+    parts = [share(word.of("c"), 5, TERMS) for word in play.words]
+    assert parts == [0.5, 0.0, 0.0, 0.0, 0.1, 0.25, 0.5, 1.0]
+    assert share(play.words[3].of("c"), 1, TERMS) == TERMS.trial_share  # two try for all
+
+
+def test_a_zone_that_falters_rests_for_longer_each_time_and_is_forgiven_after_calm() -> None:
+    play = Play()
+    play.wait(400, {"c": ILL})
+    rests = []
+    for _ in range(6):
+        began = play.now
+        while play.words[-1].of("c").stage is not T:
+            play.wait(50, {"c": NOTHING})
+        rests.append(play.now - began)
+        while play.words[-1].of("c").stage is not A:
+            play.wait(50, {"c": ILL})
+    assert [round(rest, -3) for rest in rests] == [2_000, 4_000, 8_000, 16_000, 32_000, 60_000]
+    play.wait(140_000, {})
+    assert (play.words[-1].of("c").stage, play.words[-1].of("c").flaps) == (U, 0)
+
+
+def test_of_two_zones_that_fail_one_stays() -> None:
+    play = Play()
+    play.wait(1_000, {"c": ILL})
+    play.wait(3_000, {"c": ILL, "b": ILL})
+    assert play.words[-1].of("b").stage is U
+    both = Play()
+    both.wait(2_000, {"b": ILL, "c": Seen(8, 8, 5, 2, 2, 2)})
+    assert [both.words[-1].of(zone).stage is U for zone in "bc"] == [False, True]  # the worse one is left
+
+
+def test_operators_go_before_what_is_seen() -> None:
+    play = Play()
+    play.wait(500, {}, {"c": "leave"})
+    assert play.stages() == [(L, 0), (L, 1), (A, 0)]
+    play.wait(90_000, {})
+    assert play.stages()[-1] == (A, 0)  # it stays away
+    play.wait(50, {}, {"c": "return"})
+    play.wait(20_000, {})
+    assert play.stages()[-1] == (U, 0) and play.words[-1].of("c").hand == ""
+    play.wait(100, {}, {"c": "hold"})
+    play.wait(5_000, {"c": ILL})
+    assert play.stages()[-1] == (U, 0)
+    play.wait(100, {"c": ILL}, {"c": ""})
+    assert play.stages()[-1] == (L, 0)
+
+
+def test_an_epoch_never_goes_back_and_a_word_counts_for_so_long() -> None:
+    follower = Follower(TERMS)
+    assert follower.hear(10, Word(3, "a0"))
+    assert not follower.hear(20, Word(2, "b0")) and not follower.hear(30, Word(3, "b0"))
+    assert follower.word.writer == "a0"
+    assert not follower.lost(30 + TERMS.hold_ms) and follower.lost(31 + TERMS.hold_ms)
+
+
+def test_no_order_of_writers_losses_and_crashes_gives_two_words_one_epoch() -> None:
+    found = walk(12_000)
+    assert (found.why, found.states) == ("", 12_000), found.trace
+
+
+def no_compare(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(word_orders, "stands", lambda revision, expected: True)
+
+
+def any_word(patch: pytest.MonkeyPatch) -> None:
+    def hear(self: Follower, now: int, word: Word | None) -> bool:
+        if word is None:
+            return False
+        self.word = word
+        return True
+
+    patch.setattr(Follower, "hear", hear)
+
+
+def writer_believes_its_own(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(word_orders, "answered", lambda store, word: (store[0], word))
+
+
+@pytest.mark.parametrize("fault", [no_compare, any_word, writer_believes_its_own])
+def test_a_guard_of_the_word_that_is_left_out_is_found(
+    monkeypatch: pytest.MonkeyPatch, fault: Callable[[pytest.MonkeyPatch], None]
+) -> None:
+    fault(monkeypatch)
+    assert walk(12_000).why
