The module's use of a zone in part has tests of its own

Need: ZoneParts was only seen through processes.

Change: a gateway keeps to the same servers as the part grows, over 200 gateways each server gets about the part, and what was held against a zone's servers is forgotten when it is used again.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from mothgap.interface import Cause, Refuse, Result
+from mothgap.interface import Cause, ListKind, Refuse, Result, ZoneParts
 from mothgap.rules import KEPT_FOR
 from mothgap.settings import read_settings
 from tests.helpers import KEYED, MS, SETTINGS, START, Driver, line
@@ -139,3 +139,53 @@
 def test_the_price_of_a_handshake_is_read_and_none_where_it_is_not_told() -> None:
     assert read_settings({**FACTS, "prices": {"handshake": 0.07, "odd": 1}}).handshake_price == 0.07
     assert read_settings({k: v for k, v in FACTS.items() if k != "prices"}).handshake_price == 0.0
+
+
+def used(driver: Driver, count: int = 300) -> set[str]:
+    """The servers that so many requests of customers of their own go to."""
+    found = set()
+    for number in range(count):
+        send = driver.admitted(customer=driver.now + number)
+        found.add(send.server)
+        driver.outcome(send.request)
+        driver.now += 5 * MS
+    return found
+
+
+def parted(index: int, *parts: tuple[int, float], seed: int = 1) -> Driver:
+    """A gateway of ten before ten servers of its own zone and ten of zone 1, which it uses in part."""
+    driver = Driver(replace(SETTINGS, index=index, fleet_size=4), servers=0, seed=seed)
+    lines = [replace(line(n + 1), zone=n % 2) for n in range(20)]
+    driver.members(*lines, kind=ListKind.CACHED)
+    driver.feed(ZoneParts(parts))
+    return driver
+
+
+def test_of_a_zone_in_part_use_a_gateway_keeps_to_some_servers_and_to_the_same_as_it_grows() -> None:
+    zone = {line(n + 1).server for n in range(20) if n % 2}
+    before = set[str]()
+    for part in (0.0, 0.25, 0.5, 1.0):
+        driver = parted(3, (1, part))
+        now = used(driver, 600) & zone
+        assert before <= now and len(used(driver) - zone) == 10
+        before = now
+    assert before == zone
+    driver = parted(3, (1, 0.0))
+    driver.feed(ZoneParts(()))
+    assert used(driver, 600) & zone == zone  # and all of them again
+
+
+def test_over_many_gateways_each_server_of_a_zone_in_part_use_gets_that_part_of_them() -> None:
+    counts = Counter[str]()
+    for index in range(200):
+        counts.update(s.line.server for s in parted(index, (1, 0.3)).gateway._ready if s.line.zone == 1)
+    assert len(counts) == 10 and all(35 <= count <= 85 for count in counts.values()), counts
+
+
+def test_what_was_held_against_servers_of_a_zone_is_forgotten_when_it_is_used_again() -> None:
+    driver = parted(0, (1, 1.0))
+    for server in driver.gateway._servers.values():
+        server.errors, server.aside = 1.0, True
+    driver.feed(ZoneParts(()))
+    held = {server.line.zone: server.aside for server in driver.gateway._servers.values()}
+    assert held == {0: True, 1: False}
