--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,7 +11,7 @@
     "counter_cost", "etcd", "routes", "http_cost", "http_mixed", "http_fuzz", "http_schema", "workers",
     "handover", "days", "choice", "fleet_change", "lending", "large_values", "operations", "upgrades",
     "quota_bound", "planning_family", "takeover_orders", "takeover",
-    "list_size",
+    "list_size", "zones",
 )  # fmt: skip
 
 
--- a/lynxreel/local/by_etcd.py
+++ b/lynxreel/local/by_etcd.py
@@ -81,12 +81,12 @@
 async def with_word(
     folder: Path, gateways: int, lease: int = 200, wait: int = 100, edit: Callable[[str], str] = str,
     env: Mapping[str, str] | None = None, boxes: int = 6, keyed: bool = False, seed: int = 1,
-    word: bool = True, rate: float = 50.0, zones: int = 0,
+    word: bool = True, rate: float = 50.0, zones: int = 0, last: Callable[[str], str] = str,
 ) -> AsyncIterator[tuple[Deployment, Cluster]]:  # fmt: skip
     """Instances in zones of their own whose links can fail, with the fleet's word in a stand-in etcd.
 
     `lease` and `wait` are the milliseconds of `[takeover]`; `word`: whether it is asked; `zones`: so many, of
-    boxes too, that are left as a fleet.
+    boxes too, that are left as a fleet; `last` has the last word on operator files.
     """
     cluster = Cluster()
     await cluster.etcd.open()
@@ -98,7 +98,7 @@
         if zones:
             names = ", ".join(f'"z{n}"' for n in range(zones))
             text = text.replace("[boxes]\n", f"[boxes]\nzones = [{names}]\n") + ZONES
-        return text
+        return last(text)
 
     deployment = Deployment(
         folder, gateways, rate, seed, boxes, whole, env, takeover=True, zones=zones or gateways,
