An operator's order on a zone that changes nothing is not kept for later

Seen in reading: free or return where there was nothing to take back stayed pending at the instance that was asked, and would have undone a later order of another operator; a start waited for etcd without a bound.

Change: such orders change nothing, others are given up after 5 s with a line in the log; a start waits 0.5 s for the word.

--- a/lynxreel/zones/shell.py
+++ b/lynxreel/zones/shell.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
@@ -24,6 +25,8 @@
 TICK = 0.05  # seconds between looks at what is seen
 STOOD = 0.3  # seconds that a look came late by: the loop stood still
 AGAIN = 1_000  # milliseconds after which a report is told again, and the store is read
+START = 0.5  # seconds that a start waits for the word
+ORDERED = 5_000  # milliseconds for which an operator's order is tried: later it would surprise
 TURN = 30  # milliseconds that each instance leaves to the ones before it to write the next word
 ORDERS = ("leave", "return", "hold", "")
 
@@ -62,6 +65,7 @@
         self._told_at = self._read_at = 0
         self._due: dict[int, int] = {}  # when the word that follows an epoch is to be written by this one
         self._hands: dict[str, str] = {}  # operators' orders that have not been written yet
+        self._hands_until = 0
         self._parts: dict[str, float] = {}
         self._out = False  # of touch
         self._asking: asyncio.Task[None] | None = None
@@ -75,7 +79,9 @@
 
     async def open(self) -> None:
         """Take the word that stands, or go on without where it can't be had now."""
-        self._take(await self._store.read())
+        with suppress(TimeoutError):
+            async with asyncio.timeout(START):
+                self._take(await self._store.read())
         self._ticking = self._loop.create_task(self._tick())
 
     def close(self) -> None:
@@ -124,6 +130,9 @@
         if now - self._read_at >= AGAIN:
             self._read_at = now
             self._ask(None)
+        if self._hands and now > self._hands_until:
+            log(f"orders on zones {', '.join(self._hands)} could not be written in time: given up")
+            self._hands.clear()
         self._go_on(now)
         if self.follower.lost(now) is not self._out:
             self._out = not self._out
@@ -243,14 +252,16 @@
         now = self._now()
         if zone not in self.said(now) or order not in ORDERS:
             return {"refused": f"no zone {zone!r} with boxes, or no order {order!r}"}
-        hands = {**self._hands, zone: order}
+        told = self.follower.word.of(zone)
+        moot = order == told.hand or (order == "return" and told.stage is Stage.IN_USE)
+        hands = {} if moot else {zone: order}
         at = time.time_ns() // 1_000_000
         follows = following(self.follower, self.said(now), now, at, self._own.name, hands)
         left = [box for box, place in self._boxes.items() if place != zone]
         after = msgspec.to_builtins(follows.of(zone)) if follows is not None else "nothing changes now"
         would = {"follows": after, "boxes_left": len(left), "boxes": len(self._boxes)}
-        if not dry:
-            self._hands = hands
+        if hands and not dry:
+            self._hands, self._hands_until = hands, now + ORDERED
             self._due.clear()
             self._go_on(now)
         return would
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -155,6 +155,8 @@
                 code = await asyncio.to_thread(main, ["zones", *config, *words])
                 return code, json.loads(capsys.readouterr().out)
 
+            for moot in (("free", "z1"), ("return", "z1")):  # there is nothing to take back, or to return to
+                assert (await zones(*moot))[0] == 0
             code, would = await zones("leave", "z1", "--dry-run")
             assert code == 0 and would["follows"]["stage"] == "leaving"
             assert (would["boxes_left"], would["boxes"]) == (8, 12)
