--- a/lynxreel/node.py
+++ b/lynxreel/node.py
@@ -28,12 +28,16 @@
     from lynxreel.counters.redis import Options, RedisCounter
     from lynxreel.fronts.http import Plan as HttpPlan
     from lynxreel.fronts.http import Web
+    from lynxreel.links.mesh import Mesh
+    from lynxreel.links.mesh import Plan as LinksPlan
     from lynxreel.membership.core import Publish
     from lynxreel.metering.guarded import Guarded
     from lynxreel.sources.etcd import EtcdList, EtcdSource
     from lynxreel.sources.files import FileList, WatchedFile
     from lynxreel.takeover.cover import Cover
     from lynxreel.takeover.cover import Plan as TakeoverPlan
+    from lynxreel.zones.shell import Plan as ZonesPlan
+    from lynxreel.zones.shell import Zones
 
 FIRST_NEWS = 0.1  # seconds that a start waits for discovery, and for the counter, before it goes on without
 OWN_SOCKETS = 32  # descriptors for the counter, discovery, the loop and the standard streams
@@ -69,7 +73,9 @@
     part: float = 1.0  # of its even share of ceilings that this instance holds
     held: int = 16 << 20  # bytes that may be held of values that are passed on as they come
     peers: PeerPlan | None = None  # where `settings.limits.peers` allows messages between gateways
-    takeover: TakeoverPlan | None = None  # where other instances keep copies of work in hand
+    links: LinksPlan | None = None  # who the other instances are, for those who speak to them
+    takeover: TakeoverPlan | None = None  # with links: other instances keep copies of work in hand
+    zones: ZonesPlan | None = None  # with links: a zone that fails is left by all together
 
 
 class Node:
@@ -93,12 +99,18 @@
         self._counted_at: Address | Options | None = None
         self.guard: Guarded | None = None
         self._count(deployment)
+        self.mesh: Mesh | None = deployment.links.mesh(loop) if deployment.links is not None else None
         self.cover: Cover | None = None
-        if deployment.takeover is not None:
+        if deployment.takeover is not None and self.mesh is not None:
             from lynxreel.takeover.cover import Cover  # here: only where it is configured
 
-            self.cover = Cover(deployment.takeover, self.engine, self.servers, loop)
+            self.cover = Cover(deployment.takeover, self.engine, self.servers, self.mesh, loop)
             self.cover.adopt(settings, deployment.places)
+        self.zones: Zones | None = None
+        if deployment.zones is not None and self.mesh is not None:
+            from lynxreel.zones.shell import Zones  # here: only where it is configured
+
+            self.zones = Zones(deployment.zones, self.engine, self.mesh, loop)
         desk: Desk = self.cover or self.engine
         doors = doors or OwnDoors(loop)
         self.clients = Clients(desk, self._terms(deployment), clients, loop, doors)
@@ -171,6 +183,8 @@
     def _news(self, members: Members, lines: list[tuple[Member, Address]]) -> None:
         self.servers.update(lines, members.kind is not ListKind.CHANGES)
         self.engine.news(members)
+        if self.zones is not None:
+            self.zones.listed(members)
 
     def _count(self, deployment: Deployment) -> None:
         """Call the counter that the deployment names."""
@@ -238,8 +252,10 @@
         """Hear and be heard by the other instances. Raises an OSError where an address is taken."""
         if self.peers is not None and self.deployment.peers is not None:
             await self.peers.open(self.deployment.peers.listen, self.deployment.peers.beside)
-        if self.cover is not None:
-            await self.cover.open()
+        if self.mesh is not None:
+            await self.mesh.open()
+        if self.zones is not None:
+            await self.zones.open()
 
     def hold(self, held: bool) -> None:
         """Hold this instance's share of ceilings from now on, or hand all of it back."""
@@ -391,4 +407,8 @@
         if self.counter is not None:
             self.counter.close()
         if self.cover is not None:
-            self.cover.close()  # last: whoever finds its address closed takes this instance for dead
+            self.cover.close()
+        if self.zones is not None:
+            self.zones.close()
+        if self.mesh is not None:
+            self.mesh.close()  # last: whoever finds its address closed takes this instance for dead
