Nothing is sent on any more for a client that has left while its connection came up

Ruled out: clients whose leaving is seen late (the close was read in the same turn). At fault: Engine.gone and Servers: 'what is out runs on' was meant for what a server has.

An attempt of which no byte has gone out now ends as not sent when its client leaves, or when another attempt was served (Engine._withdraw, Servers.withdraw, the same for an intent that waits for its keeper). The module gives units back of which none was sent on; before they were kept.

--- a/lynxreel/backends/pools.py
+++ b/lynxreel/backends/pools.py
@@ -336,8 +336,7 @@
         """What has not begun to be sent there goes elsewhere, at once."""
         pool.drop_idle(self.loop.time())
         for attempt in [attempt for attempt in self._connects if attempt.server == name]:
-            self._connects.pop(attempt).cancel()
-            self.end(attempt, Result.NOT_SENT)
+            self.withdraw(attempt)
 
     def send(self, attempt: Attempt, timeout: int) -> None:
         """Start an attempt, on an idle connection or a new one."""
@@ -409,6 +408,12 @@
         """Give an attempt up."""
         self._leave(attempt, Result.CANCELLED)
 
+    def withdraw(self, attempt: Attempt) -> None:
+        """Give an attempt up whose connection has not come up; others go on."""
+        if (task := self._connects.pop(attempt, None)) is not None:
+            task.cancel()
+            self.end(attempt, Result.NOT_SENT)
+
     def _timed_out(self, attempt: Attempt) -> None:
         self._leave(attempt, Result.TIMEOUT)
 
--- a/lynxreel/engine/engine.py
+++ b/lynxreel/engine/engine.py
@@ -105,6 +105,9 @@
     def cancel(self, attempt: Attempt) -> None:
         """Give an attempt up."""
 
+    def withdraw(self, attempt: Attempt) -> None:
+        """Give an attempt up if no byte of it has gone out; it ends as not sent."""
+
 
 class Tally(Protocol):
     """Who counts what became of requests, for the operators."""
@@ -218,6 +221,7 @@
         if self._close(request, "left") is not None:
             if moved:
                 self.post(api.Unsure(request, True))
+            self._withdraw(request)
             self.post(api.Expired(request))
 
     def adopt(self, settings: api.Settings) -> None:
@@ -278,6 +282,8 @@
         self.post(
             api.Outcome(attempt.request, attempt.number, attempt.server, result, elapsed, final, load=load)
         )
+        if final:
+            self._withdraw(attempt.request)
 
     # --- events and actions -----------------------------------------------------------------------------
 
@@ -322,8 +328,16 @@
         closed = self._close(request, "failed")
         if closed is not None:
             closed.call.failed()
+            self._withdraw(request)
             self.post(api.Expired(request))
 
+    def _withdraw(self, request: int) -> None:
+        """Guards servers against work that nobody waits for: connections may come up long after the end."""
+        held = self._open.get(request)
+        for number in range(held.attempts if held is not None and held.out else 0):
+            if (attempt := self._out.get((request, number))) is not None:
+                self.backend.withdraw(attempt)
+
     def _act(self, action: api.Action) -> None:
         match action:
             case api.Send():
--- a/lynxreel/takeover/cover.py
+++ b/lynxreel/takeover/cover.py
@@ -262,6 +262,13 @@
         else:
             self._servers.cancel(attempt)
 
+    def withdraw(self, attempt: Attempt) -> None:
+        """Give an attempt up if no byte of it has gone out."""
+        if (attempt.call.id, attempt.number) in self._held:
+            self.cancel(attempt)
+        else:
+            self._servers.withdraw(attempt)
+
     # --- the links --------------------------------------------------------------------------------------
 
     def _heard(self, name: str, incarnation: int, message: Any) -> None:
--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -981,6 +981,8 @@
                 units = event.true_units - job.request.units
                 job.customer.debt = max(0.0, job.customer.debt + units)
                 self._settle(job, units)
+            elif job.unsent == job.attempts:  # its client left before a byte went out
+                self._settle(job, -job.request.units)
             del self._jobs[event.request]
             return
         if live is not None and not event.result.never_ran:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -124,8 +124,8 @@
 
     def outcome(
         self, request: int, result: Result = Result.OK, attempt: int | None = None,
-        load: tuple[float, ...] = (),
-    ) -> list[Action]:
+        load: tuple[float, ...] = (), final: bool = False,
+    ) -> list[Action]:  # fmt: skip
         life = self.lives[request]
         number = max(life.sent) if attempt is None else attempt
         server, sent, _ = life.sent[number]
@@ -133,7 +133,7 @@
         life.unsent += result is Result.NOT_SENT
         if not result.never_ran:
             life.ran.append((server, sent))
-        life.over = life.over or result is Result.OK
+        life.over = life.over or final or result is Result.OK
         return self.feed(Outcome(request, number, server, result, self.now - sent, life.over, load=load))
 
     def finish(self) -> None:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -86,6 +86,15 @@
     assert kinds(driver.outcome(send.request, Result.NOT_SENT)) == ["Refuse"]
 
 
+@pytest.mark.parametrize("last", [Result.NOT_SENT, Result.RESET])
+def test_units_come_back_when_the_client_left_before_any_byte_went_out(last: Result) -> None:
+    driver = Driver()
+    send = driver.admitted()
+    assert kinds(driver.outcome(send.request, Result.NOT_SENT)) == ["Send"]
+    back = [action.amount for action in driver.outcome(send.request, last, final=True)]  # type: ignore[union-attr]
+    assert back == ([-1.0] if last is Result.NOT_SENT else [])
+
+
 def test_a_draining_server_gets_nothing_new() -> None:
     driver = Driver(servers=2)
     driver.members(replace(line(1), state=State.DRAINING))
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -185,6 +185,43 @@
     assert [type(events[0]), *events[1:]] == [api.Request, api.Expired(1), moot]
 
 
+@pytest.mark.parametrize("how", ["left", "served"])
+def test_what_is_still_connecting_goes_out_for_no_request_that_is_over(
+    monkeypatch: pytest.MonkeyPatch, how: str
+) -> None:
+    def script(event: api.Event) -> Iterator[api.Action]:
+        if isinstance(event, api.Request):
+            yield from [api.Send(event.id, "s-1", LONG)] * (1 + (how == "served"))
+
+    async def scenario(engine: Engine, peer: Peer, ends: Ends) -> None:
+        up = asyncio.Event()
+        connect = Servers._connect
+
+        async def late(servers: Servers, attempt: gateway.Attempt, *rest: typing.Any) -> None:
+            if how == "left" or attempt.number:
+                coming.set()
+                await up.wait()
+            await connect(servers, attempt, *rest)
+
+        coming = asyncio.Event()
+        monkeypatch.setattr(Servers, "_connect", late)
+        ends[1].write(call(1))
+        await coming.wait()
+        if how == "left":
+            ends[1].close()
+        else:
+            await peer.answer(OK)
+        while not any(isinstance(event, api.Outcome) for event in Module.events):
+            await asyncio.sleep(0.001)
+        up.set()
+        await asyncio.sleep(0.02)  # a connection would come up, and be written on
+        assert peer.came.empty()
+
+    events = play(monkeypatch, script, scenario)
+    results = [(event.attempt, event.result) for event in events if isinstance(event, api.Outcome)]
+    assert results[-1] == (how == "served", api.Result.NOT_SENT)
+
+
 class Gone:
     """A call whose client has left: an answer to it is an error."""
 
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -263,6 +263,23 @@
     run(scenario)
 
 
+def test_a_withdrawn_attempt_goes_out_only_if_it_has_begun() -> None:
+    async def scenario() -> None:
+        async with Peer() as peer:
+            bench = Bench(peer.port)
+            bench.servers.withdraw(bench.send())
+            assert bench.heard.ended.get_nowait()[:2] == (1, Result.NOT_SENT)
+            begun = bench.send(size=12)
+            while (heard := await peer.hear())[1] == b"":
+                pass
+            assert heard[1] == resp(b"CALL.GET", b"x" * 12)
+            bench.servers.withdraw(begun)
+            heard[0].write(OK)
+            assert await bench.end() == (2, Result.OK)
+
+    run(scenario)
+
+
 def test_no_connection_is_opened_to_a_server_that_leaves() -> None:
     async def scenario() -> None:
         async with Peer() as peer:
