--- a/lynxreel/local/deployment.py
+++ b/lynxreel/local/deployment.py
@@ -113,7 +113,7 @@
         faults, clock = self.box_faults, self._clock
         self.boxes = await open_boxes(
             self._box_count, self.seed, world.WORK, self.ledger, faults, clock, link=self._link,
-            keys=Keys(world.KEY_MEMORY),
+            keys=Keys(world.KEY_MEMORY), sender=self.ledger.sender,
         )  # fmt: skip
         self._entries = {box.name: entry(box.name, box.listener.address) for box in self.boxes}
         self.registry.put(*self._entries.values())
--- a/lynxreel/standins/box.py
+++ b/lynxreel/standins/box.py
@@ -131,9 +131,14 @@
     def __init__(
         self, name: str, seed: int, work: dict[str, float], books: Books, faults: Faults, clock: Clock,
         cores: int = 2, link: Callable[[Listener, Box], BoxLink] = Resp2Link, keys: Keys | None = None,
+        sender: Callable[[bytes], str] = lambda number: "",
     ) -> None:  # fmt: skip
-        """`keys`: shared with the other boxes; each request runs by default."""
-        self.name, self._keys = name, keys
+        """`keys`: shared with the other boxes; each request runs by default. `sender`: whose request it is.
+
+        Faults name the way between a sender and a box, too: SILENT at `g0>box-1` loses what is sent, so that
+        it never comes; at `box-1>g0` it loses the answer alone.
+        """
+        self.name, self._keys, self._sender = name, keys, sender
         self._random, self._mean, self._cores = random.Random(seed), work, cores
         self._books, self._faults, self._clock = books, faults, clock
         self._loop = asyncio.get_running_loop()
@@ -146,10 +151,14 @@
     def take(self, work: Work) -> None:
         """One request, whole."""
         work.link.queue.append((work, b""))
-        now = self._loop.time()
+        now, sender = self._loop.time(), self._sender(work.number)
+        if sender and self._faults.cut(f"{sender}>{self.name}", self._clock.now()):
+            return  # nor does anything behind it on the connection have an answer
         self.came.append(now)
         self._books.arrive(work.number, now)
         work.fault = self._faults.pick(self.name, self._clock.now(), AT_REQUESTS)
+        if sender and self._faults.cut(f"{self.name}>{sender}", self._clock.now()):
+            work.fault = Fault(Kind.SILENT)
         if work.fault is not None and work.fault.kind is Kind.REFUSE:
             work.link.answer(work, work.link.BUSY)
         elif self._running < self._cores:
@@ -205,11 +214,12 @@
 async def open_boxes(
     count: int, seed: int, work: dict[str, float], books: Books, faults: Faults, clock: Clock,
     ports: Iterable[int] = (), link: Callable[[Listener, Box], BoxLink] = Resp2Link,
-    keys: Keys | None = None,
+    keys: Keys | None = None, sender: Callable[[bytes], str] = lambda number: "",
 ) -> list[Box]:  # fmt: skip
     """Boxes `box-0`, `box-1` and so on, listening; on these ports, or on free ones."""
     boxes = [
-        Box(f"box-{n}", seed + n, work, books, faults, clock, link=link, keys=keys) for n in range(count)
+        Box(f"box-{n}", seed + n, work, books, faults, clock, link=link, keys=keys, sender=sender)
+        for n in range(count)
     ]
     places = iter(ports)
     for box in boxes:
--- a/lynxreel/standins/faults.py
+++ b/lynxreel/standins/faults.py
@@ -105,6 +105,11 @@
                 return fault
         return None
 
+    def cut(self, way: str, now: float) -> bool:
+        """Whether nothing passes on a way that a fault names, as `g0>box-1`; one for all means no ways."""
+        silent = (fault for fault in self.script if fault.kind is Kind.SILENT and fault.target == way)
+        return any(fault.strikes(way, now) for fault in silent)
+
     def dead(self, target: str, now: float) -> bool:
         """Whether there is nothing at its address."""
         return any(fault.kind is Kind.DEAD and fault.strikes(target, now) for fault in self.script)
--- a/lynxreel/standins/ledger.py
+++ b/lynxreel/standins/ledger.py
@@ -226,6 +226,11 @@
         entry = self._tries.get(number)
         return entry is not None and entry.arrived
 
+    def sender(self, number: bytes) -> str:
+        """The gateway that its client asked; empty where no client did."""
+        entry = self._tries.get(number)
+        return entry.gateway if entry is not None else ""
+
     # --- the books --------------------------------------------------------------------------------------
 
     def open(self) -> int:
--- a/lynxreel/standins/word_orders.py
+++ b/lynxreel/standins/word_orders.py
@@ -1,8 +1,8 @@
 """All orders in which three instances can read and replace the fleet's word: `Follower` under each of them.
 
 A step is one thing that may happen next: an instance writes the word that follows, the store takes it, its
-answer or what is told of it arrives or is lost, an instance reads, dies, or starts again. States are walked
-breadth first and each is looked at once.
+answer or what is told of it arrives or is lost, an instance reads, dies, or starts again, and a liar tells a
+word that nobody wrote. States are walked breadth first and each is looked at once.
 """
 
 from __future__ import annotations
@@ -14,12 +14,14 @@
 from lynxreel.zones.word import Follower, Terms, Word, may_replace
 
 COUNT = 3
+LIAR = COUNT  # a fourth one, who only tells
 MOST = 4  # epochs, deaths and messages on their way are bounded, so that the walk ends
 DEATHS = 2
 
 
 Told = tuple[int, str]  # a word's epoch and writer
 NONE: Told = (0, "")
+LIE: Told = (9, "liar")
 
 
 def stands(revision: int, expected: int) -> bool:
@@ -42,6 +44,7 @@
     expected: int = 0
     answer: tuple[int, Told] | None = None  # on its way from the store
     alive: bool = True
+    told: tuple[tuple[int, Told], ...] = ()  # by others, and not believed yet
 
 
 @dataclass(frozen=True)
@@ -50,7 +53,8 @@
 
     instances: tuple[Instance, ...] = (Instance(),) * COUNT
     store: tuple[int, Told] = (0, NONE)  # revision and word
-    telling: tuple[tuple[int, Told], ...] = ()  # to whom
+    telling: tuple[tuple[int, int, Told], ...] = ()  # by whom, to whom
+    had: frozenset[Told] = frozenset({NONE})  # words that the store has had
     strays: tuple[tuple[Told, int], ...] = ()  # writes of the dead that have not arrived
     deaths: int = 0
 
@@ -70,6 +74,15 @@
     return replace(instance, word=(follower.word.epoch, follower.word.writer))
 
 
+def _tell(instance: Instance, teller: int, told: Told) -> Instance:
+    """The store is away for this one: it has nothing else to go by."""
+    known = {str(other): Word(*word) for other, word in instance.told}
+    follower = Follower(Terms(), Word(*instance.word), told=known)
+    follower.tell(0, str(teller), Word(*told), False)
+    kept = tuple(sorted((int(other), (word.epoch, word.writer)) for other, word in follower.told.items()))
+    return replace(instance, word=(follower.word.epoch, follower.word.writer), told=kept)
+
+
 def _with(state: State, number: int, instance: Instance, **more: object) -> State:
     instances = tuple(instance if n == number else one for n, one in enumerate(state.instances))
     return replace(state, instances=instances, **more)  # type: ignore[arg-type]
@@ -92,28 +105,32 @@
         elif own.writing is not None:
             store = _taken(state, own.writing, own.expected)
             done = replace(own, writing=None, answer=answered(store, own.writing))
-            yield f"the store takes {number}'s", _with(state, number, done, store=store)
+            had = state.had | {store[1]}
+            yield f"the store takes {number}'s", _with(state, number, done, store=store, had=had)
         elif own.answer is not None:
             told = replace(_hear(own, own.answer[1]), known=(own.answer[1][0], own.answer[0]), answer=None)
-            others = tuple((to, told.word) for to in range(COUNT) if to != number)
+            others = tuple((number, to, told.word) for to in range(COUNT) if to != number)
             known = tuple(dict.fromkeys((*state.telling, *others)))[:MOST]
             yield f"{number} hears the store", _with(state, number, told, telling=known)
             yield f"{number} hears nothing", _with(state, number, replace(own, answer=None))
+        if (LIAR, LIE) not in own.told:
+            yield f"the liar tells {number}", _with(state, number, _tell(own, LIAR, LIE))
         if state.deaths < DEATHS:
             strays = state.strays + (((own.writing, own.expected),) if own.writing is not None else ())
             more = {"deaths": state.deaths + 1, "strays": strays}
             yield f"{number} dies", _with(state, number, Instance(alive=False), **more)
     for place, (word, expected) in enumerate(state.strays):
         rest_of = state.strays[:place] + state.strays[place + 1 :]
+        store = _taken(state, word, expected)
         yield "a dead one's write arrives", replace(
-            state, strays=rest_of, store=_taken(state, word, expected)
+            state, strays=rest_of, store=store, had=state.had | {store[1]}
         )
-    for place, (to, word) in enumerate(state.telling):
+    for place, (teller, to, word) in enumerate(state.telling):
         rest = state.telling[:place] + state.telling[place + 1 :]
         yield f"lost for {to}", replace(state, telling=rest)
         if state.instances[to].alive:
             yield f"{to} is told {word[0]}", _with(
-                state, to, _hear(state.instances[to], word), telling=rest
+                state, to, _tell(state.instances[to], teller, word), telling=rest
             )
 
 
@@ -135,6 +152,8 @@
     for old, new in zip(before.instances, after.instances, strict=True):
         if old.alive and new.alive and new.word[0] < old.word[0]:
             return "an instance's epoch goes back"
+        if new.alive and new.word not in after.had:
+            return "an instance goes by a word that nobody wrote"
     return ""
 
 
--- a/lynxreel/zones/shell.py
+++ b/lynxreel/zones/shell.py
@@ -28,6 +28,7 @@
 START = 0.5  # seconds that a start waits for the word
 ORDERED = 5_000  # milliseconds for which an operator's order is tried: later it would surprise
 TURN = 30  # milliseconds that each instance leaves to the ones before it to write the next word
+DOUBT = 10_000  # milliseconds for which nothing is read at the word of one who told what the store had not
 ORDERS = ("leave", "return", "hold", "")
 
 
@@ -62,12 +63,14 @@
         self._numbers = {name: number for number, name in plan.names.items()}
         self._boxes: dict[str, str] = {}
         self._reports: dict[str, Witness] = {}
-        self._told_at = self._read_at = 0
+        self._told_at = self._read_at = self._taken_at = 0
         self._due: dict[int, int] = {}  # when the word that follows an epoch is to be written by this one
         self._hands: dict[str, str] = {}  # operators' orders that have not been written yet
         self._hands_until = 0
         self._parts: dict[str, float] = {}
         self._out = False  # of touch
+        self._prompts: dict[str, int] = {}  # epochs that others told of, and that are not known here
+        self._doubted: dict[str, int] = {}  # until when nothing is read at their word
         self._asking: asyncio.Task[None] | None = None
         self._ticking: asyncio.Task[None] | None = None
         self.note: Callable[[str, dict[str, Any]], None] = lambda kind, content: None  # for the records
@@ -127,9 +130,7 @@
             self._told_at = now
             for name in self._mesh.peers.up():
                 self._mesh.say(name, report)
-        if now - self._read_at >= AGAIN:
-            self._read_at = now
-            self._ask(None)
+        self._look_up(now)
         if self._hands and now > self._hands_until:
             log(f"orders on zones {', '.join(self._hands)} could not be written in time: given up")
             self._hands.clear()
@@ -140,6 +141,19 @@
             log(lost if self._out else "the fleet's word on zones is followed again")
             self._apply()
 
+    def _look_up(self, now: int) -> None:
+        """Read the store now and then; at once where another instance tells of a later word."""
+        if now - self._read_at >= AGAIN and (self._asking is None or self._asking.done()):
+            self._read_at = now
+            self._ask(None)
+
+    def _heeded(self, stands: Word | None, prompts: dict[str, int]) -> None:
+        """Who told of a word that the store did not have then is not heeded for a while."""
+        for name, epoch in prompts.items():
+            if stands is not None and stands.epoch < epoch:
+                log(f"{name} tells epoch {epoch} of the word on zones, and the store has {stands.epoch}")
+                self._doubted[name] = self._now() + DOUBT
+
     def said(self, now: int) -> dict[str, words.Seen]:
         """What the witnesses say of each zone."""
         peers = self._mesh.peers.peers
@@ -172,7 +186,13 @@
             self._asking = self._loop.create_task(self._store_word(follows))
 
     async def _store_word(self, follows: Word | None) -> None:
+        prompts, self._prompts = self._prompts, {}
         stands = await (self._store.read() if follows is None else self._store.replace(follows))
+        self._heeded(stands, prompts)
+        word = self.follower.word
+        if stands is not None and stands.epoch < word.epoch and not self._out:
+            log(f"the store has lost the word on zones: epoch {word.epoch} is put back for {stands.epoch}")
+            stands = await self._store.restore(word)
         if self._take(stands) and follows is not None and stands is not None and stands == follows:
             for name in self._mesh.peers.up():
                 self._mesh.say(name, Told(stands))
@@ -184,6 +204,12 @@
         before = self.follower.word
         if not self.follower.hear(self._now(), stands):
             return False
+        self._taken(before)
+        return True
+
+    def _taken(self, before: Word) -> None:
+        """Another word is gone by."""
+        stands, self._taken_at = self.follower.word, self._now()
         for zone, told in stands.zones.items():
             if self._hands.get(zone) == told.hand:
                 del self._hands[zone]
@@ -193,7 +219,6 @@
                 log(f"zone {zone}: {told.stage.value}, step {told.step}, epoch {stands.epoch}: {told.why}")
                 self.note("zone", {"zone": zone, "epoch": stands.epoch, **msgspec.to_builtins(told)})
         self._apply()
-        return True
 
     def _apply(self) -> None:
         """Have the module use of each zone what the word says."""
@@ -217,8 +242,15 @@
         if isinstance(message, Report):
             self._reports[name] = Witness(self._places[name], message, self._now())
             self.follower.hear(self._now(), None)
+            if message.epoch < self.follower.word.epoch and self._now() - self._taken_at >= AGAIN:
+                self._mesh.say(name, Told(self.follower.word))  # it may not hear the store
         elif isinstance(message, Told):
-            self._take(message.word)
+            before = self.follower.word
+            if self.follower.tell(self._now(), name, message.word, not self._store.away):
+                self._taken(before)
+            elif message.word.epoch > before.epoch and self._now() >= self._doubted.get(name, 0):
+                self._prompts[name], self._read_at = message.word.epoch, 0  # it counts as the store has it
+                self._look_up(self._now())
 
     def _news(self, news: Iterable[News]) -> None:
         for item in news:
--- a/lynxreel/zones/store.py
+++ b/lynxreel/zones/store.py
@@ -26,12 +26,16 @@
     def __init__(self, plan: Plan) -> None:
         self._client, self._key = Client(plan.etcd), plan.key.encode()
         self._known = 0, 0  # the word's epoch as it was last read, and the key's revision then
-        self._away = False
+        self.away = False
 
     async def read(self) -> Word | None:
         """The word that stands; None where it can't be had now."""
         return await self._transact(pb.TxnRequest(success=[self._range()]))
 
+    async def restore(self, word: Word) -> Word | None:
+        """Put the word that the fleet goes by where the store has lost it; what stands then."""
+        return await self._put(word)
+
     async def replace(self, word: Word) -> Word | None:
         """Put a word in place of the one before it; what stands then, None where that can't be known.
 
@@ -41,6 +45,9 @@
             stands = await self.read()  # what it follows was told by another instance
             if stands is None or not may_replace(self._known[0], word):
                 return stands
+        return await self._put(word)
+
+    async def _put(self, word: Word) -> Word | None:
         _, revision = self._known
         same = pb.Compare(
             key=self._key, target=pb.Compare.MOD, result=pb.Compare.EQUAL, mod_revision=revision
@@ -56,11 +63,11 @@
         try:
             done = await self._client.transact(asked)
         except EtcdError as wrong:
-            if not self._away:
+            if not self.away:
                 log(f"the fleet's word on zones can't be had: {wrong}")
-            self._away = True
+            self.away = True
             return None
-        self._away = False
+        self.away = False
         found = done.responses[-1].response_range.kvs
         if not found:
             self._known = 0, 0
--- a/lynxreel/zones/word.py
+++ b/lynxreel/zones/word.py
@@ -258,13 +258,28 @@
     word: Word = Word()
     heard_at: int = 0  # when the store, or another instance, was last heard
     changed: dict[str, int] = field(default_factory=dict)  # when each zone's last change was heard of
+    told: dict[str, Word] = field(default_factory=dict)  # the last word that each other instance told
 
     def passed(self, now: int, zone: str) -> int:
         """For how long what the word says of a zone has been known here."""
         return now - self.changed.get(zone, -(10**9))
 
+    def tell(self, now: int, name: str, word: Word, store: bool) -> bool:
+        """Another instance has told its word; true where it is gone by from now on.
+
+        `store`: it can be had from the store, which alone is believed then. Otherwise `least_witnesses` have
+        to tell one and the same, so that no instance alone moves another by a word that nobody wrote.
+        """
+        self.heard_at = now
+        if word.epoch <= self.word.epoch:
+            self.told.pop(name, None)
+            return False
+        self.told[name] = word
+        same = sum(other == word for other in self.told.values())
+        return not store and same >= self.terms.least_witnesses and self.hear(now, word)
+
     def hear(self, now: int, word: Word | None) -> bool:
-        """The store or another instance has told its word, None for nothing new; true for a later one."""
+        """The store has told its word, or another instance is heard, None; true for a later word."""
         self.heard_at = now
         if word is None or word.epoch <= self.word.epoch:
             return False
--- a/tests/test_zone_word.py
+++ b/tests/test_zone_word.py
@@ -207,6 +207,16 @@
     assert not follower.lost(30 + TERMS.hold_ms) and follower.lost(31 + TERMS.hold_ms)
 
 
+def test_what_one_instance_tells_is_looked_up_and_what_two_tell_counts_while_the_store_is_away() -> None:
+    follower = Follower(TERMS)
+    for _ in range(2):
+        assert not follower.tell(10, "a0", Word(2, "b1"), False)
+    assert not follower.tell(10, "b0", Word(2, "liar"), False)
+    assert not follower.tell(10, "b0", Word(2, "b1"), True)  # the store can be asked
+    assert follower.tell(10, "b0", Word(2, "b1"), False) and follower.word == Word(2, "b1")
+    assert not follower.tell(10, "b0", Word(2, "b1"), False) and follower.heard_at == 10
+
+
 def test_no_order_of_writers_losses_and_crashes_gives_two_words_one_epoch() -> None:
     found = walk(12_000)
     assert (found.why, found.states) == ("", 12_000), found.trace
@@ -217,20 +227,22 @@
 
 
 def any_word(patch: pytest.MonkeyPatch) -> None:
-    def hear(self: Follower, now: int, word: Word | None) -> bool:
-        if word is None:
-            return False
+    def tell(self: Follower, now: int, name: str, word: Word, store: bool) -> bool:
         self.word = word
         return True
 
-    patch.setattr(Follower, "hear", hear)
+    patch.setattr(Follower, "tell", tell)
+
+
+def one_teller_is_believed(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(word_orders, "Terms", lambda: Terms(least_witnesses=1))
 
 
 def writer_believes_its_own(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(word_orders, "answered", lambda store, word: (store[0], word))
 
 
-@pytest.mark.parametrize("fault", [no_compare, any_word, writer_believes_its_own])
+@pytest.mark.parametrize("fault", [no_compare, any_word, one_teller_is_believed, writer_believes_its_own])
 def test_a_guard_of_the_word_that_is_left_out_is_found(
     monkeypatch: pytest.MonkeyPatch, fault: Callable[[pytest.MonkeyPatch], None]
 ) -> None:
