What is well is left as the rest bears it; a dead zone is known also when hardly tried

An operator's order to leave a zone that is well moved it all in 0.3 s, whatever the rest bore. Instances now tell what they have out in each zone and how many attempts its boxes have shown to bear (mothgap/view.py, which also has what rules.py only showed to operators); a step by hand waits until what moves fits there, and for what moved to show. 'leave ZONE --at-once' does not wait. A zone that fails is left as before. Connections to the rest are opened ahead, as many as were in use, unless they have a price.

Seen in tests over twelve processes and mended: (1) in an overload, all boxes late, a zone was left (epochs 3 to 8 in 12 s); where no zone is well none is accused now. (2) A zone that had been dead for 6 s was never left after 'free': its boxes are set aside and hardly tried; a failure counts for 30 s or until an answer.

--- a/lynxreel/backends/pools.py
+++ b/lynxreel/backends/pools.py
@@ -307,6 +307,7 @@
         self._pools: dict[str, Pool] = {}
         self._out: dict[Attempt, tuple[asyncio.TimerHandle, Connection | None]] = {}
         self._connects: dict[Attempt, asyncio.Task[None]] = {}
+        self._ahead: set[asyncio.Task[None]] = set()  # connections that come up for no attempt yet
         self._sweep()
 
     def adopt(self, settings: Settings, idle: int, most: int) -> None:
@@ -357,7 +358,7 @@
 
     def _room(self) -> bool:
         """Guards the limit on descriptors: an idle connection elsewhere makes room."""
-        if self.open + len(self._connects) < self._most:
+        if self.open + len(self._connects) + len(self._ahead) < self._most:
             return True
         idle = [pool.idle[0] for pool in self._pools.values() if pool.idle]
         if idle:
@@ -365,6 +366,21 @@
         return bool(idle)
 
     async def _connect(self, attempt: Attempt, pool: Pool, deadline: int) -> None:
+        try:
+            connection = await self._come_up(pool)
+        finally:
+            self._connects.pop(attempt, None)
+        if isinstance(connection, Result):
+            self.end(attempt, connection)
+            return
+        if self.may is not None and not self.may(attempt):
+            pool.give(connection)
+            self.end(attempt, Result.NOT_SENT)
+        else:
+            self._write(attempt, connection, deadline - self._engine.clock.now())
+
+    async def _come_up(self, pool: Pool) -> Connection | Result:
+        """A new connection; where there is none, what that makes of an attempt."""
         connection = self.wire.connection(pool)
         result = Result.CONNECT_FAILED
         try:
@@ -377,19 +393,28 @@
         except asyncio.CancelledError:
             connection.drop()
             raise
-        finally:
-            self._connects.pop(attempt, None)
         if not connection.usable():
             connection.drop()
-            self.end(attempt, result)
-            return
+            return result
         pool.all.add(connection)
         self.open += 1
-        if self.may is not None and not self.may(attempt):
+        return connection
+
+    def open_ahead(self, names: Iterable[str], count: int) -> None:
+        """Open connections that will be wanted at these servers soon, unless they have a price."""
+        pools = [pool for name in names if (pool := self._pools.get(name)) is not None and not pool.leaving]
+        pools.sort(key=lambda pool: len(pool.idle))
+        free = self._most - self.open - len(self._connects) - len(self._ahead)
+        if self._settings.handshake_price > 0 or not pools:
+            return
+        for number in range(min(count, free)):
+            task = self.loop.create_task(self._stand_by(pools[number % len(pools)]))
+            self._ahead.add(task)
+            task.add_done_callback(self._ahead.discard)
+
+    async def _stand_by(self, pool: Pool) -> None:
+        if isinstance(connection := await self._come_up(pool), Connection):
             pool.give(connection)
-            self.end(attempt, Result.NOT_SENT)
-        else:
-            self._write(attempt, connection, deadline - self._engine.clock.now())
 
     def _write(self, attempt: Attempt, connection: Connection, wait: int) -> None:
         """The one way to a server. Nothing new goes to one that is known to drain, to be gone or elsewhere.
@@ -481,7 +506,7 @@
 
     def close(self) -> None:
         """The end of the process: nothing is owed any more."""
-        for task in list(self._connects.values()):
+        for task in [*self._connects.values(), *self._ahead]:
             task.cancel()
         for pool in self._pools.values():
             for connection in list(pool.all):
--- a/lynxreel/cli/main.py
+++ b/lynxreel/cli/main.py
@@ -114,7 +114,8 @@
 
     if args.act is None:
         return show(args.config)
-    return order(args.config, args.act, args.zone, args.dry_run)
+    at_once = args.act == "leave" and args.at_once
+    return order(args.config, "at once" if at_once else args.act, args.zone, args.dry_run)
 
 
 def _standin(args: argparse.Namespace) -> int:
@@ -231,6 +232,8 @@
         act = acts.add_parser(what, help=text)
         act.add_argument("zone")
         act.add_argument("--dry-run", action="store_true", help="only say what would follow now")
+        if what == "leave":
+            act.add_argument("--at-once", action="store_true", help="whether or not the rest bears it")
     zones.set_defaults(run=_zones)
 
     standin = commands.add_parser("standin", help="one stand-in as a process, with faults on demand")
--- a/lynxreel/config/deploy.py
+++ b/lynxreel/config/deploy.py
@@ -179,7 +179,8 @@
     from lynxreel.zones.word import Terms
 
     terms = Terms(
-        leave_ms=entry.leave_ms, back_ms=entry.back_ms, rest_ms=entry.rest_ms, trial_ms=entry.trial_ms,
+        leave_ms=entry.leave_ms, settle_ms=entry.settle_ms, back_ms=entry.back_ms,
+        rest_ms=entry.rest_ms, trial_ms=entry.trial_ms,
         least_witnesses=entry.least_witnesses, most_away=entry.most_away, hold_ms=entry.hold_ms,
     )  # fmt: skip
     store = StorePlan(etcd_options(file.boxes.etcd), f"{file.boxes.etcd.prefix}zones")
--- a/lynxreel/config/model.py
+++ b/lynxreel/config/model.py
@@ -341,6 +341,7 @@
     """Leaving a zone that fails as a fleet, by one word in boxes.etcd, and coming back in steps."""
 
     leave_ms: int = Field(default=150, ge=50, le=60_000, description="for each step of leaving")
+    settle_ms: int = Field(default=2_500, ge=100, le=600_000, description="likewise, of a zone that is well")
     rest_ms: int = Field(default=2_000, ge=100, le=600_000, description="before it is tried; doubles")
     trial_ms: int = Field(default=1_000, ge=100, le=600_000, description="that a trial goes well for")
     back_ms: int = Field(default=1_500, ge=100, le=600_000, description="for each step of returning")
--- a/lynxreel/engine/engine.py
+++ b/lynxreel/engine/engine.py
@@ -13,6 +13,7 @@
 
 from lynxreel.log import log
 from mothgap import interface as api
+from mothgap import view
 from mothgap.rules import Gateway
 
 if TYPE_CHECKING:
@@ -242,7 +243,11 @@
 
     def believes(self, customer: int) -> dict[str, float]:
         """What the module knows of a customer's use, for the operators."""
-        return self._module.believes(customer)
+        return view.believes(self._module, customer)
+
+    def in_use(self) -> dict[int, view.Use]:
+        """What is out at each zone's servers, and how much they bear of this gateway."""
+        return view.use(self._module)
 
     def owed(self) -> int:
         """Requests that wait for their final answer."""
--- a/lynxreel/local/by_etcd.py
+++ b/lynxreel/local/by_etcd.py
@@ -20,7 +20,8 @@
 from mothgap.interface import State
 
 PREFIX = "/lx/"
-ZONES = "\n[zones]\nrest_ms = 700\ntrial_ms = 300\nback_ms = 400\n"  # quicker than in service
+# Quicker than in service.
+ZONES = "\n[zones]\nsettle_ms = 1200\nrest_ms = 700\ntrial_ms = 300\nback_ms = 400\n"
 
 
 class Cluster:
--- a/lynxreel/node.py
+++ b/lynxreel/node.py
@@ -110,7 +110,7 @@
         if deployment.zones is not None and self.mesh is not None:
             from lynxreel.zones.shell import Zones  # here: only where it is configured
 
-            self.zones = Zones(deployment.zones, self.engine, self.mesh, loop)
+            self.zones = Zones(deployment.zones, self.engine, self.servers, self.mesh, loop)
         desk: Desk = self.cover or self.engine
         doors = doors or OwnDoors(loop)
         self.clients = Clients(desk, self._terms(deployment), clients, loop, doors)
--- a/lynxreel/zones/evidence.py
+++ b/lynxreel/zones/evidence.py
@@ -30,7 +30,8 @@
 class Terms:
     """When boxes say something of their zone. Times are microseconds."""
 
-    span: int = 2_000_000  # for which what a box did last counts
+    span: int = 2_000_000  # for which an answer of a box counts
+    failed: int = 30_000_000  # and its failure: it is tried seldom after that, until it answers
     bad: float = 0.6  # of a zone's boxes that fail
     most: int = 5  # boxes that are enough, in a large zone
     good: float = 0.3  # of the boxes that did something: no more failed
@@ -71,8 +72,8 @@
             return
         if result in FAILED or result in ANSWERED:
             before, failed = self._last.get(box), result in FAILED
-            in_a_row = failed and before is not None and before.failed and before.at > now - self._terms.span
-            since = before.since if in_a_row and before is not None else now
+            still = before is not None and before.failed and before.at > now - self._terms.failed
+            since = before.since if failed and still and before is not None else now
             self._last[box] = _Box(zone, now, failed, since)
 
     def forget(self, zone: str) -> None:
@@ -90,7 +91,8 @@
 
     def verdicts(self, now: int) -> dict[str, Verdict]:
         """What it says of each zone that has boxes."""
-        recent = [last for last in self._last.values() if last.at > now - self._terms.span]
+        since = {True: now - self._terms.failed, False: now - self._terms.span}
+        recent = [last for last in self._last.values() if last.at > since[last.failed]]
         failed, answered = dict.fromkeys(self._sizes, 0), dict.fromkeys(self._sizes, 0)
         onset: dict[str, int] = {}
         for last in recent:
@@ -105,7 +107,10 @@
         accused = sum(verdict is Verdict.BAD for verdict in found.values())
         if accused > 1 and not any(answered.values()):
             self._blind_until = now + self._terms.blind  # every zone at once: it is this instance
-        return dict.fromkeys(found, Verdict.UNKNOWN) if self.blind(now) else found
+        if self.blind(now) or Verdict.GOOD not in found.values():
+            # Where no zone is well it is not for one to be left: in an overload all of them are late.
+            return dict.fromkeys(found, Verdict.UNKNOWN)
+        return found
 
     def _verdict(self, zone: str, failed: int, answered: int) -> Verdict:
         seen, terms = failed + answered, self._terms
--- a/lynxreel/zones/shell.py
+++ b/lynxreel/zones/shell.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import Callable, Iterable
 from contextlib import suppress
@@ -11,6 +12,7 @@
 
 import msgspec
 
+from lynxreel.backends.pools import Servers
 from lynxreel.engine.engine import Engine
 from lynxreel.links.mesh import Mesh
 from lynxreel.links.peers import News, State, Up
@@ -24,12 +26,13 @@
 
 TICK = 0.05  # seconds between looks at what is seen
 STOOD = 0.3  # seconds that a look came late by: the loop stood still
+USE = 100  # milliseconds between looks at what is out
+SMOOTH = 0.2  # of what a look finds
 AGAIN = 1_000  # milliseconds after which a report is told again, and the store is read
 START = 0.5  # seconds that a start waits for the word
 ORDERED = 5_000  # milliseconds for which an operator's order is tried: later it would surprise
 TURN = 30  # milliseconds that each instance leaves to the ones before it to write the next word
 DOUBT = 10_000  # milliseconds for which nothing is read at the word of one who told what the store had not
-ORDERS = ("leave", "return", "hold", "")
 
 
 class Told(msgspec.Struct, frozen=True, array_like=True, tag="word"):
@@ -51,8 +54,10 @@
 class Zones:
     """One instance's part in it."""
 
-    def __init__(self, plan: Plan, engine: Engine, mesh: Mesh, loop: asyncio.AbstractEventLoop) -> None:
-        self._plan, self._engine, self._mesh, self._loop = plan, engine, mesh, loop
+    def __init__(
+        self, plan: Plan, engine: Engine, servers: Servers, mesh: Mesh, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        self._plan, self._engine, self._servers, self._mesh, self._loop = plan, engine, servers, mesh, loop
         engine.sees = self._ended
         mesh.join((Report, Told), self._heard, self._news)
         self._own = mesh.own
@@ -63,7 +68,8 @@
         self._numbers = {name: number for number, name in plan.names.items()}
         self._boxes: dict[str, str] = {}
         self._reports: dict[str, Witness] = {}
-        self._told_at = self._read_at = self._taken_at = 0
+        self._told_at = self._read_at = self._taken_at = self._used_at = 0
+        self._load: dict[str, tuple[float, float]] = {}  # by zone: attempts out, and how many may be
         self._due: dict[int, int] = {}  # when the word that follows an epoch is to be written by this one
         self._hands: dict[str, str] = {}  # operators' orders that have not been written yet
         self._hands_until = 0
@@ -123,16 +129,22 @@
         found = self._evidence.verdicts(now * 1_000)
         blind = self._evidence.blind(now * 1_000)
         verdicts = {zone: int(verdict) for zone, verdict in found.items()}
-        report = Report(verdicts, blind, self.follower.word.epoch)
         before = self._reports.get(self._own.name)
+        use = before.report.use if before is not None else {}
+        if now - self._used_at >= USE:
+            self._used_at, use = now, self._use()
+        report = Report(verdicts, blind, self.follower.word.epoch, use)
         self._reports[self._own.name] = Witness(self._own.zone, report, now)
-        if before is None or before.report != report or now - self._told_at >= AGAIN:
+        same = before is not None and msgspec.structs.replace(before.report, use=use) == report
+        if not same or now - self._told_at >= AGAIN:
             self._told_at = now
             for name in self._mesh.peers.up():
                 self._mesh.say(name, report)
         self._look_up(now)
         if self._hands and now > self._hands_until:
-            log(f"orders on zones {', '.join(self._hands)} could not be written in time: given up")
+            late = [zone for zone, hand in self._hands.items() if hand != self.follower.word.of(zone).hand]
+            if late:
+                log(f"orders on zones {', '.join(late)} could not be written in time: given up")
             self._hands.clear()
         self._go_on(now)
         if self.follower.lost(now) is not self._out:
@@ -154,6 +166,14 @@
                 log(f"{name} tells epoch {epoch} of the word on zones, and the store has {stands.epoch}")
                 self._doubted[name] = self._now() + DOUBT
 
+    def _use(self) -> dict[str, tuple[float, float]]:
+        """What is out in each zone, smoothed, and how much its boxes bear of this instance."""
+        for number, (out, bears) in self._engine.in_use().items():
+            if (zone := self._plan.names.get(number)) is not None:
+                before = self._load.get(zone, (out, bears))
+                self._load[zone] = (before[0] + SMOOTH * (out - before[0]), bears)
+        return {zone: (round(out, 2), round(bears, 2)) for zone, (out, bears) in self._load.items()}
+
     def said(self, now: int) -> dict[str, words.Seen]:
         """What the witnesses say of each zone."""
         peers = self._mesh.peers.peers
@@ -216,10 +236,20 @@
             if told != before.of(zone):
                 if told.stage is Stage.TRIAL:
                     self._evidence.forget(zone)
+                if told.stage is Stage.LEAVING and before.of(zone).stage is Stage.IN_USE:
+                    self._open_ahead(zone)
                 log(f"zone {zone}: {told.stage.value}, step {told.step}, epoch {stands.epoch}: {told.why}")
                 self.note("zone", {"zone": zone, "epoch": stands.epoch, **msgspec.to_builtins(told)})
         self._apply()
 
+    def _open_ahead(self, left: str) -> None:
+        """As many connections to the boxes of zones in use as are in use in the one that is left."""
+        word = self.follower.word
+        if left == self._own.zone:
+            return
+        rest = [box for box, zone in self._boxes.items() if word.of(zone).stage is Stage.IN_USE]
+        self._servers.open_ahead(rest, math.ceil(self._load.get(left, (0.0, 0.0))[0]))
+
     def _apply(self) -> None:
         """Have the module use of each zone what the word says."""
         up = {self._own.name, *self._mesh.peers.up()}
@@ -273,6 +303,7 @@
             zones[zone] = {
                 **msgspec.to_builtins(told), "here": self._parts.get(zone, 1.0),
                 "sees": verdicts.get(zone, Verdict.UNKNOWN).name.lower(),
+                "out": round(said.out, 1), "rest_bears": round(said.room, 1),
                 "expected": said.expected, "heard": said.heard, "bad": said.bad, "good": said.good,
                 "boxes": sum(place == zone for place in self._boxes.values()),
             }  # fmt: skip
@@ -282,16 +313,19 @@
     def order(self, zone: str, order: str, dry: bool) -> dict[str, Any]:
         """An operator's word on a zone; what follows from it now, or would."""
         now = self._now()
-        if zone not in self.said(now) or order not in ORDERS:
+        if zone not in self.said(now) or order not in words.ORDERS:
             return {"refused": f"no zone {zone!r} with boxes, or no order {order!r}"}
         told = self.follower.word.of(zone)
-        moot = order == told.hand or (order == "return" and told.stage is Stage.IN_USE)
-        hands = {} if moot else {zone: order}
+        moot = order == told.hand or (order == words.RETURN and told.stage is Stage.IN_USE)
+        # An order that is under way goes before what is known of the word.
+        hands = {} if moot and zone not in self._hands else {**self._hands, zone: order}
         at = time.time_ns() // 1_000_000
         follows = following(self.follower, self.said(now), now, at, self._own.name, hands)
         left = [box for box, place in self._boxes.items() if place != zone]
         after = msgspec.to_builtins(follows.of(zone)) if follows is not None else "nothing changes now"
-        would = {"follows": after, "boxes_left": len(left), "boxes": len(self._boxes)}
+        said = self.said(now)[zone]
+        bears = {"out": round(said.out, 1), "rest_bears": round(said.room, 1)}
+        would = {"follows": after, "boxes_left": len(left), "boxes": len(self._boxes), **bears}
         if hands and not dry:
             self._hands, self._hands_until = hands, now + ORDERED
             self._due.clear()
--- a/lynxreel/zones/word.py
+++ b/lynxreel/zones/word.py
@@ -24,6 +24,10 @@
 from lynxreel.zones.evidence import Verdict
 
 
+LEAVE, AT_ONCE, RETURN, HOLD = "leave", "at once", "return", "hold"
+ORDERS = (LEAVE, AT_ONCE, RETURN, HOLD, "")  # "" takes one back; AT_ONCE leaves whatever the rest bears
+
+
 class Stage(StrEnum):
     """How far a zone is in use by those outside it."""
 
@@ -42,7 +46,7 @@
     epoch: int = 0  # of the word that began this
     at: int = 0  # when this began, milliseconds of the writer's Unix time: for operators, clocks differ
     flaps: int = 0  # times that it has faltered of late
-    hand: str = ""  # the operators' word, which goes before what is seen: leave, return or hold
+    hand: str = ""  # the operators' word, which goes before what is seen: one of ORDERS
     why: str = ""
 
 
@@ -64,6 +68,7 @@
 
     leave_steps: tuple[float, ...] = (0.5, 0.0)  # shares while it is left
     leave_ms: int = 150  # for each
+    settle_ms: int = 2_500  # for each by hand, while the zone is well: what has moved shows by then
     back_steps: tuple[float, ...] = (0.1, 0.25, 0.5)  # and while it is returned to
     back_ms: int = 1_500
     rest_ms: int = 2_000  # that a zone rests before it is tried; doubled with each time that it falters
@@ -84,6 +89,7 @@
     verdicts: dict[str, int]
     blind: bool = False
     epoch: int = 0  # of the word that it went by
+    use: dict[str, tuple[float, float]] = {}  # by zone: attempts out there, and how many may be at once
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +112,8 @@
     bad_from: int  # zones that those who see it fail are in
     zones: int  # zones that those expected are in
     ill: int = 0  # who see nothing but failures, and little
+    out: float = 0.0  # attempts that those heard have out there
+    room: float = 0.0  # more that the zones in use would bear from them
 
     def says_bad(self, terms: Terms) -> bool:
         """Most say that it fails; or nobody sees any of it answer, where little of it is tried."""
@@ -119,6 +127,10 @@
         """Some say that it is well, and hardly anybody says otherwise."""
         return self.good > 0 and 3 * (self.bad + self.ill) <= self.good
 
+    def fits(self, part: float) -> bool:
+        """This part of what is out there can go to the rest, which does not bear it twice."""
+        return self.out * part <= self.room
+
     def falters(self) -> bool:
         """Of those that use a part of it most see it fail."""
         return self.bad + self.ill > self.good
@@ -137,6 +149,7 @@
     gone = set(dead)
     outside = {name: place for name, place in places.items() if place != zone and name not in gone}
     heard = bad = good = ill = 0
+    out = room = 0.0
     accusers = set[str]()
     for name, place in outside.items():
         witness = reports.get(name)
@@ -151,7 +164,12 @@
         ill += verdict == Verdict.ILL
         if verdict in (Verdict.BAD, Verdict.ILL):
             accusers.add(place)
-    return Seen(len(outside), heard, bad, good, len(accusers), len(set(outside.values())), ill)
+        for other, (there, bears) in witness.report.use.items():
+            if other == zone:
+                out += there
+            elif not _left(word.of(other)):
+                room += max(0.0, bears - there)
+    return Seen(len(outside), heard, bad, good, len(accusers), len(set(outside.values())), ill, out, room)
 
 
 def _blind(report: Report) -> bool:
@@ -196,34 +214,41 @@
 
 def _step(zone: Zone, said: Seen, at: int, passed: int, terms: Terms, may_leave: bool) -> Zone:
     """What a zone does next, so long after its last change."""
-    bad = zone.hand == "leave" or (zone.hand != "return" and said.says_bad(terms))
-    if zone.hand == "hold":
+    fails = zone.hand != RETURN and said.says_bad(terms)
+    by_hand = zone.hand in (LEAVE, AT_ONCE)
+    bad = fails or by_hand
+    # A zone that fails serves nobody; what is well is left at the pace that the rest bears.
+    paced = zone.hand == LEAVE and not fails
+    if zone.hand == HOLD:
         return zone
     match zone.stage:
         case Stage.IN_USE:
-            if bad and may_leave:
-                why = "by hand" if zone.hand == "leave" else f"{said.bad} of {said.heard} see it fail"
+            if bad and may_leave and (not paced or said.fits(1.0 - terms.leave_steps[0])):
+                why = "by hand" if by_hand else f"{said.bad} of {said.heard} see it fail"
                 return _turned(zone, at, stage=Stage.LEAVING, step=0, why=why)
             if zone.flaps and passed >= terms.calm_ms:
                 return _turned(zone, zone.at, flaps=0)
-        case Stage.LEAVING if passed >= terms.leave_ms:
+        case Stage.LEAVING if passed >= (terms.settle_ms if paced else terms.leave_ms):
+            here, *after = terms.leave_steps[zone.step :]
+            if paced and after and not said.fits(1.0 - after[0] / here):
+                return zone
             if zone.step + 1 < len(terms.leave_steps):
                 return _turned(zone, at, step=zone.step + 1)
             return _turned(zone, at, stage=Stage.AWAY, step=0)
-        case Stage.AWAY if zone.hand != "leave":
+        case Stage.AWAY if not by_hand:
             rest = min(terms.most_rest_ms, terms.rest_ms << min(zone.flaps, 10))
-            if passed >= rest or zone.hand == "return":
+            if passed >= rest or zone.hand == RETURN:
                 return _turned(zone, at, stage=Stage.TRIAL, why="its rest is over")
-        case Stage.TRIAL | Stage.RETURNING if bad or (zone.hand != "return" and said.falters()):
+        case Stage.TRIAL | Stage.RETURNING if bad or (zone.hand != RETURN and said.falters()):
             fail = said.bad + said.ill
-            why = "by hand" if zone.hand == "leave" else f"it faltered: {fail} see it fail, {said.good} well"
+            why = "by hand" if by_hand else f"it faltered: {fail} see it fail, {said.good} well"
             return _turned(zone, at, stage=Stage.AWAY, step=0, flaps=zone.flaps + 1, why=why)
         case Stage.TRIAL if passed >= terms.trial_ms and said.says_good():
             return _turned(zone, at, stage=Stage.RETURNING, step=0, why="its trial went well")
         case Stage.RETURNING if passed >= terms.back_ms and said.says_good():
             if zone.step + 1 < len(terms.back_steps):
                 return _turned(zone, at, step=zone.step + 1)
-            hand = "" if zone.hand == "return" else zone.hand
+            hand = "" if zone.hand == RETURN else zone.hand
             return _turned(zone, at, stage=Stage.IN_USE, step=0, hand=hand, why="it is back")
         case _:
             pass
--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -301,14 +301,6 @@
                 self._on_settings(event.settings)
         return self._out
 
-    def believes(self, customer: int) -> dict[str, float]:
-        """What is known of a customer's use, for the operators; nothing where it is not known here."""
-        known = self._customers.get(customer)
-        if known is None:
-            return {}
-        return {"debt": known.debt, "burst": known.burst, "window": known.window, "total": known.total,
-                "own": known.own, "owed": known.owed, "guess": known.guess, "open": known.open}
-
     def _on_settings(self, settings: Settings) -> None:
         """Other figures from now on. What is open keeps its class; customers keep what they have taken."""
         classes, plans = len(settings.classes), len(settings.plans)
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -280,6 +280,26 @@
     run(scenario)
 
 
+def test_connections_opened_ahead_carry_what_comes_next_within_the_limit_and_have_no_price() -> None:
+    async def scenario() -> None:
+        async with Peer() as peer:
+            for price, opened in ((0.1, 0), (0.0, 3)):
+                bench = Bench(peer.port, most=3)
+                bench.servers.adopt(replace(FAST, handshake_price=price), 60_000_000, 3)
+                bench.servers.open_ahead(["s-1", "unknown"], 5)
+                await asyncio.sleep(0)
+                while bench.servers.open < opened:
+                    await asyncio.sleep(0.001)
+                assert (bench.servers.open, len(bench.servers._ahead)) == (opened, 0)
+            bench.send()
+            assert not bench.servers._connects
+            bench.servers.update(at(peer.port, State.DRAINING), False)
+            bench.servers.open_ahead(["s-1"], 1)
+            assert not bench.servers._ahead
+
+    run(scenario)
+
+
 def test_no_connection_is_opened_to_a_server_that_leaves() -> None:
     async def scenario() -> None:
         async with Peer() as peer:
