--- a/lynxreel/engine/engine.py
+++ b/lynxreel/engine/engine.py
@@ -13,6 +13,7 @@
 
 from lynxreel.log import log
 from mothgap import interface as api
+from mothgap import view
 from mothgap.rules import Gateway
 
 if TYPE_CHECKING:
@@ -105,6 +106,9 @@
     def cancel(self, attempt: Attempt) -> None:
         """Give an attempt up."""
 
+    def withdraw(self, attempt: Attempt) -> None:
+        """Give an attempt up if no byte of it has gone out; it ends as not sent."""
+
 
 class Tally(Protocol):
     """Who counts what became of requests, for the operators."""
@@ -218,6 +222,7 @@
         if self._close(request, "left") is not None:
             if moved:
                 self.post(api.Unsure(request, True))
+            self._withdraw(request)
             self.post(api.Expired(request))
 
     def adopt(self, settings: api.Settings) -> None:
@@ -238,7 +243,11 @@
 
     def believes(self, customer: int) -> dict[str, float]:
         """What the module knows of a customer's use, for the operators."""
-        return self._module.believes(customer)
+        return view.believes(self._module, customer)
+
+    def in_use(self) -> dict[int, view.Use]:
+        """What is out at each zone's servers, and how much they bear of this gateway."""
+        return view.use(self._module)
 
     def owed(self) -> int:
         """Requests that wait for their final answer."""
@@ -278,6 +287,8 @@
         self.post(
             api.Outcome(attempt.request, attempt.number, attempt.server, result, elapsed, final, load=load)
         )
+        if final:
+            self._withdraw(attempt.request)
 
     # --- events and actions -----------------------------------------------------------------------------
 
@@ -322,8 +333,16 @@
         closed = self._close(request, "failed")
         if closed is not None:
             closed.call.failed()
+            self._withdraw(request)
             self.post(api.Expired(request))
 
+    def _withdraw(self, request: int) -> None:
+        """Guards servers against work that nobody waits for: connections may come up long after the end."""
+        held = self._open.get(request)
+        for number in range(held.attempts if held is not None and held.out else 0):
+            if (attempt := self._out.get((request, number))) is not None:
+                self.backend.withdraw(attempt)
+
     def _act(self, action: api.Action) -> None:
         match action:
             case api.Send():
