An instance's part in leaving zones decides without I/O; sockets and store follow it

When to tell, look up, write and use was mixed into the shell (lynxreel/zones/shell.py, 330 lines), where only processes could cause its cases. lynxreel/zones/member.py has it now: events and the clock in, actions out; the shell does them.

--- a/tests/test_zone_faults.py
+++ b/tests/test_zone_faults.py
@@ -17,7 +17,7 @@
 from lynxreel.standins.faults import Fault, Kind
 from lynxreel.takeover.messages import KINDS
 from lynxreel.zones.evidence import Verdict
-from lynxreel.zones.shell import Told
+from lynxreel.zones.member import Told
 from lynxreel.zones.word import Report, Stage, Word, Zone
 from tests.fleet import run
 from tests.test_zones import GATEWAYS, LOST, Fleet, zoned
