--- a/lynxreel/zones/evidence.py
+++ b/lynxreel/zones/evidence.py
@@ -112,6 +112,17 @@
             return dict.fromkeys(found, Verdict.UNKNOWN)
         return found
 
+    def since(self, now: int) -> dict[str, tuple[int, int]]:
+        """Of each zone of which something is known, for how long nothing has answered, and boxes failed."""
+        answered, failing = dict[str, int](), dict[str, int]()
+        for last in self._last.values():
+            if last.failed:
+                failing[last.zone] = max(now - last.since, failing.get(last.zone, 0))
+            else:
+                answered[last.zone] = min(now - last.at, answered.get(last.zone, now - last.at))
+        zones = answered.keys() | failing.keys()
+        return {zone: (answered.get(zone, self._terms.failed), failing.get(zone, 0)) for zone in zones}
+
     def _verdict(self, zone: str, failed: int, answered: int) -> Verdict:
         seen, terms = failed + answered, self._terms
         if failed >= min(terms.most, terms.bad * self._sizes[zone]) and failed >= terms.bad * seen:
--- a/lynxreel/zones/member.py
+++ b/lynxreel/zones/member.py
@@ -98,6 +98,8 @@
         self._reports: dict[str, Witness] = {}
         self._load: dict[str, tuple[float, float]] = {}  # by zone: attempts out, and how many may be
         self._told_at = self._read_at = self._taken_at = self._used_at = 0
+        self._gone_at = now  # when what is said was last gone through
+        self._stirred = True  # somebody says something else since then
         self._due: dict[int, int] = {}  # when the word that follows an epoch is to be written by this one
         self._hands: dict[str, str] = {}  # operators' orders that have not been written yet
         self._hands_until = 0
@@ -113,7 +115,7 @@
 
     def listed(self, boxes: Mapping[str, str]) -> None:
         """The boxes that may be used, each with its zone."""
-        self.boxes = dict(boxes)
+        self.boxes, self._stirred = dict(boxes), True
         self.evidence.listed(self.boxes)
 
     def ended(self, now: int, box: str, result: Result) -> None:
@@ -152,14 +154,22 @@
         blind = self.evidence.blind(now * 1_000)
         verdicts = {zone: int(verdict) for zone, verdict in found.items()}
         use = {zone: (round(out, 2), round(bears, 2)) for zone, (out, bears) in self._load.items()}
-        report = Report(verdicts, blind, self.follower.word.epoch, use)
-        before = self._reports.get(self.name)
-        self._reports[self.name] = Witness(self.zone, report, now)
-        same = before is not None and msgspec.structs.replace(before.report, use=use) == report
-        if not same or now - self._told_at >= AGAIN:
+        eyes = self.evidence.since(now * 1_000)
+        since = {zone: (without // 1_000, failing // 1_000) for zone, (without, failing) in eyes.items()}
+        report = Report(verdicts, blind, self.follower.word.epoch, use, since)
+        if self._witnessed(self.name, self.zone, report, now) or now - self._told_at >= AGAIN:
             self._told_at = now
             actions.append(Say(self._up, report))
 
+    def _witnessed(self, name: str, zone: str, report: Report, now: int) -> bool:
+        """An instance's report as it is now; whether it says something else than before."""
+        before = self._reports.get(name)
+        self._reports[name] = Witness(zone, report, now)
+        said = (report.verdicts, report.blind, report.epoch)
+        other = before is None or said != (before.report.verdicts, before.report.blind, before.report.epoch)
+        self._stirred |= other
+        return other
+
     def said(self, now: int) -> dict[str, words.Seen]:
         """What the witnesses say of each zone."""
         given = self.follower.word, self._places, self._dead, self._reports, now, self._terms
@@ -175,8 +185,14 @@
 
     def _go_on(self, now: int, at: int, actions: list[Action]) -> None:
         """Write the next word if one follows, and it is this instance's turn."""
+        epoch, zones = self.follower.word.epoch, self.follower.word.zones.values()
+        calm = not self._stirred and all(zone.stage is Stage.IN_USE and not zone.hand for zone in zones)
+        if calm and now - self._gone_at < AGAIN:
+            return  # what everybody says of every zone is the same as when it was last gone through
+        self._stirred, self._gone_at = False, now
         follows = following(self.follower, self.said(now), now, at, self.name, self._hands)
-        epoch = self.follower.word.epoch
+        if follows is not None:
+            self._stirred = True
         if follows is None:
             self._due.clear()
         elif epoch not in self._due:
@@ -258,7 +274,7 @@
         actions = list[Action]()
         word = self.follower.word
         if isinstance(message, Report):
-            self._reports[name] = Witness(self._places[name], message, now)
+            self._witnessed(name, self._places[name], message, now)
             self.follower.hear(now, None)
             if message.epoch < word.epoch and now - self._taken_at >= AGAIN:
                 actions.append(Say((name,), Told(word)))  # it may not hear the store
@@ -271,7 +287,7 @@
 
     def known(self, up: Iterable[str], dead: Iterable[str], new: Collection[str] = ()) -> list[Action]:
         """Which others can be told something, which are dead, and who of those up has just come up."""
-        self._up, self._dead = tuple(up), tuple(dead)
+        self._up, self._dead, self._stirred = tuple(up), tuple(dead), True
         actions = list[Action]()
         if new:
             if self.follower.word.epoch:
@@ -319,5 +335,6 @@
         if hands and not dry:
             self._hands, self._hands_until = hands, now + ORDERED
             self._due.clear()
+            self._stirred = True
             self._go_on(now, at, actions)
         return would, actions
--- a/lynxreel/zones/word.py
+++ b/lynxreel/zones/word.py
@@ -90,6 +90,7 @@
     blind: bool = False
     epoch: int = 0  # of the word that it went by
     use: dict[str, tuple[float, float]] = {}  # by zone: attempts out there, and how many may be at once
+    since: dict[str, tuple[int, int]] = {}  # by zone: milliseconds without an answer, and of failures
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +113,7 @@
     bad_from: int  # zones that those who see it fail are in
     zones: int  # zones that those expected are in
     ill: int = 0  # who see nothing but failures, and little
+    still: int = 0  # of those who see it well, who had an answer after half of the others saw it fail
     out: float = 0.0  # attempts that those heard have out there
     room: float = 0.0  # more that the zones in use would bear from them
 
@@ -121,7 +123,7 @@
             return False
         most = self.bad >= terms.least_witnesses and self.bad > self.good
         nobody = self.bad + self.ill >= terms.least_witnesses and 3 * (self.bad + self.ill) >= 2 * self.heard
-        return most or (nobody and not self.good)
+        return most or (nobody and not self.still)
 
     def says_good(self) -> bool:
         """Some say that it is well, and hardly anybody says otherwise."""
@@ -150,6 +152,7 @@
     outside = {name: place for name, place in places.items() if place != zone and name not in gone}
     heard = bad = good = ill = 0
     out = room = 0.0
+    answers, onsets = list[int](), list[int]()
     accusers = set[str]()
     for name, place in outside.items():
         witness = reports.get(name)
@@ -162,14 +165,21 @@
         bad += verdict == Verdict.BAD
         good += verdict == Verdict.GOOD
         ill += verdict == Verdict.ILL
+        without, failing = witness.report.since.get(zone, (0, 0))
         if verdict in (Verdict.BAD, Verdict.ILL):
             accusers.add(place)
+            onsets.append(witness.at - failing)
+        elif verdict == Verdict.GOOD:
+            answers.append(witness.at - without)
         for other, (there, bears) in witness.report.use.items():
             if other == zone:
                 out += there
             elif not _left(word.of(other)):
                 room += max(0.0, bears - there)
-    return Seen(len(outside), heard, bad, good, len(accusers), len(set(outside.values())), ill, out, room)
+    onset = sorted(onsets)[len(onsets) // 2] if onsets else 0
+    still = sum(answered > onset for answered in answers)
+    zones = len(set(outside.values()))
+    return Seen(len(outside), heard, bad, good, len(accusers), zones, ill, still, out, room)
 
 
 def _blind(report: Report) -> bool:
