--- a/lynxreel/local/by_etcd.py
+++ b/lynxreel/local/by_etcd.py
@@ -96,24 +96,16 @@
     def whole(text: str) -> str:
         asked = f"word = {str(word).lower()}\nlease_ms = {lease}\nwait_ms = {wait}\n"
         text = edit(by_etcd(text)).replace("[takeover]\n", f"[takeover]\n{asked}")
-        if zones:
-            names = ", ".join(f'"z{n}"' for n in range(zones))
-            text = text.replace("[boxes]\n", f"[boxes]\nzones = [{names}]\n") + ZONES
-        return last(text)
+        return last(in_zones(text, zones, ZONES) if zones else text)
 
     deployment = Deployment(
         folder, gateways, rate, seed, boxes, whole, env, takeover=True, zones=zones or gateways,
         wires=True, keyed=keyed,
     )  # fmt: skip
-    starting = asyncio.ensure_future(deployment.start())
     try:
-        while len(deployment.boxes) < boxes:
-            await asyncio.sleep(0.01)
-        cluster.put(*listed(deployment, zones=zones))
-        await starting
+        await start(deployment, cluster, zones)
         yield deployment, cluster
     finally:
-        starting.cancel()
         deployment.close()
         cluster.etcd.close()
         for gateway in deployment.gateways:
@@ -122,6 +114,24 @@
             await gateway.process.wait()
 
 
+async def start(deployment: Deployment, cluster: Cluster, zones: int) -> None:
+    """Start a deployment whose boxes are there, in so many zones, once they listen."""
+    starting = asyncio.ensure_future(deployment.start())
+    try:
+        while len(deployment.boxes) < deployment.box_count and not starting.done():
+            await asyncio.sleep(0.01)
+        cluster.put(*listed(deployment, zones=zones))
+        await starting
+    finally:
+        starting.cancel()
+
+
+def in_zones(text: str, zones: int, table: str = "\n[zones]\n") -> str:
+    """An operator file by which boxes in so many zones are left as a fleet."""
+    names = ", ".join(f'"z{n}"' for n in range(zones))
+    return text.replace("[boxes]\n", f"[boxes]\nzones = [{names}]\n") + table
+
+
 def operator(clusters: Iterable[Cluster], more: str = "") -> Callable[[str], str]:
     """What makes an operator file take its boxes from there; `more` goes into the table."""
 
--- a/lynxreel/local/deployment.py
+++ b/lynxreel/local/deployment.py
@@ -73,9 +73,10 @@
         self, folder: Path, gateways: int, rate: float, seed: int, boxes: int = 0,
         edit: Callable[[str], str] = str, env: Mapping[str, str] | None = None, http: bool = False,
         link: Callable[[Listener, Box], BoxLink] = Resp2Link, workers: int = 0, takeover: bool = False,
-        zones: int = 1, wires: bool = False, keyed: bool = False,
+        zones: int = 1, wires: bool = False, keyed: bool = False, links: bool = False,
     ) -> None:  # fmt: skip
-        """`takeover`: work in hand is kept at others, and clients come back for it; `zones` of instances;
+        """`links`: instances hear each other; `takeover`: they do, and work in hand is kept at others, and
+        clients come back for it; `zones` of instances;
         `wires`: what each says to each other passes through a stand-in that can fail.
         `edit` has the last word on operator files; `env` is added to the gateways' environment; `http`:
         each gateway has an HTTP front, too; `link`: what boxes speak; `workers`: of each gateway;
@@ -92,10 +93,10 @@
         self.boxes: list[Box] = []
         self._entries: dict[str, Entry] = {}  # of the boxes, as they are listed at first
         self.left: dict[str, float] = {}  # when a box was announced as leaving
-        self._box_count, self._clock = boxes or files.boxes_for(rate, self.classes), clock
+        self.box_count, self._clock = boxes or files.boxes_for(rate, self.classes), clock
         self.gateways: list[Gateway] = []
         self._http, self._link, self._workers = http, link, workers
-        self._takeover, self._zones = takeover, zones
+        self._takeover, self._zones, self._linked = takeover, zones, links or takeover
         self.wire_faults = Faults(seed + 3)
         self._wired = wires
         self.wires: dict[tuple[int, int], Wire] = {}  # by speaker and hearer
@@ -112,7 +113,7 @@
         await self.registry.listener.open()
         faults, clock = self.box_faults, self._clock
         self.boxes = await open_boxes(
-            self._box_count, self.seed, world.WORK, self.ledger, faults, clock, link=self._link,
+            self.box_count, self.seed, world.WORK, self.ledger, faults, clock, link=self._link,
             keys=Keys(world.KEY_MEMORY), sender=self.ledger.sender,
         )  # fmt: skip
         self._entries = {box.name: entry(box.name, box.listener.address) for box in self.boxes}
@@ -121,7 +122,7 @@
         fronts = 1 + self._http
         holders = [socket.create_server((HOST, 0)) for _ in range(self.count * fronts)]
         addresses = [holder.getsockname()[:2] for holder in holders]
-        if self._takeover:
+        if self._linked:
             rows = [_row(max(1, len(SIDES) * self._workers)) for _ in range(self.count)]
             self.links = [row[0].getsockname()[:2] for row in rows]
             holders += itertools.chain.from_iterable(rows)
@@ -168,7 +169,7 @@
                 wires[number, n].listener.address if (number, n) in wires else place
                 for n, place in enumerate(self.links)
             ]
-            text += files.takeover_tables(number, self.links, self._zones, seen)
+            text += files.takeover_tables(number, self.links, self._zones, seen, self._takeover)
         path.write_text(self._edit(text) + more)
         return path
 
--- a/lynxreel/local/files.py
+++ b/lynxreel/local/files.py
@@ -18,9 +18,10 @@
 
 
 def takeover_tables(
-    number: int, links: Sequence[Address], zones: int, seen: Sequence[Address] | None = None
-) -> str:
-    """The tables of an instance whose work in hand is kept by the others.
+    number: int, links: Sequence[Address], zones: int, seen: Sequence[Address] | None = None,
+    kept: bool = True,
+) -> str:  # fmt: skip
+    """The tables of an instance that hears the others and, if `kept`, whose work in hand is kept by them.
 
     `links`: where each listens; `seen`: where this one speaks to each, if that differs.
     """
@@ -29,7 +30,8 @@
         for n, (host, port) in enumerate(seen or links)
     )
     host, port = links[number]
-    return f'\n[links]\nlisten = "{host}:{port}"\nzone = "z{number % zones}"\n{peers}\n[takeover]\n'
+    last = "\n[takeover]\n" if kept else ""
+    return f'\n[links]\nlisten = "{host}:{port}"\nzone = "z{number % zones}"\n{peers}{last}'
 
 
 def operator_file(
--- a/lynxreel/local/run.py
+++ b/lynxreel/local/run.py
@@ -12,8 +12,9 @@
 import tempfile
 import time
 from collections import Counter
+from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import uvloop
 from rich import box
@@ -27,9 +28,14 @@
 from lynxreel.local.files import boxes_for
 from lynxreel.local.night import Deed, Night, read_night
 from lynxreel.local.script import Step, script
+from lynxreel.local.zones import Loss, Lost
+from lynxreel.local.zones import table as zone_table
 from lynxreel.standins.box import Resp2Link
 from lynxreel.standins.http_box import HttpLink
 
+if TYPE_CHECKING:
+    from lynxreel.local.by_etcd import Cluster
+
 BROKEN = ("lost", "duplicated", "late", "ran_twice")
 SETTLE = 10.0  # seconds after the day in which what is open is answered: over the longest deadline
 RETRY_TAIL = 1.0  # and in which clients that were refused come again
@@ -47,7 +53,13 @@
     parser.add_argument("--drain", type=int, default=0, help="gateways drained, one by one")
     parser.add_argument("--reload", type=int, default=0, help="reloads of random gateways")
     parser.add_argument("--takeover", action="store_true", help="work in hand outlives its gateway")
-    parser.add_argument("--zones", type=int, default=1, help="of gateways, in turn")
+    parser.add_argument(
+        "--zones", type=int, default=1,
+        help="of gateways and boxes, in turn; without --takeover they are left by the whole fleet together",
+    )  # fmt: skip
+    parser.add_argument("--lose-zone", type=int, metavar="N", help="the boxes of this one die, and come back")
+    parser.add_argument("--lose-at", type=float, default=5.0, metavar="SECONDS", help="of the load")
+    parser.add_argument("--lose-for", type=float, default=6.0, metavar="SECONDS")
     parser.add_argument("--faults", type=Path, help="what goes wrong and when: docs/running-a-fleet.md")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--report", type=Path, help="write the books to this file, as JSON")
@@ -118,16 +130,28 @@
     return told
 
 
-async def _show(deployment: Deployment, console: Console) -> None:
+async def _show(deployment: Deployment, console: Console, zones: int) -> None:
     before: dict[str, Counter[str]] = {}
     below = Text(hint(deployment), overflow="fold")
-    last = time.monotonic()
+    last, came = time.monotonic(), _came(deployment, zones)
     with Live(console=console, refresh_per_second=4) as live:
         while True:
             await asyncio.sleep(1.0)
-            now = time.monotonic()
-            live.update(Group(table(deployment, before, now - last), below))
-            last = now
+            now, there = time.monotonic(), _came(deployment, zones)
+            shown = [table(deployment, before, now - last)]
+            if zones > 1:
+                living = [gateway for gateway in deployment.gateways if gateway.code is None]
+                states = {gateway.number: gateway.place.read() for gateway in living}
+                rates = {zone: (count - came[zone]) / (now - last) for zone, count in there.items()}
+                shown.append(zone_table(states, zones, rates))
+            live.update(Group(*shown, below))
+            last, came = now, there
+
+
+def _came(deployment: Deployment, zones: int) -> dict[str, int]:
+    """Requests that have come to the boxes of each zone."""
+    boxes = deployment.boxes
+    return {f"z{n}": sum(len(one.came) for one in boxes[n::zones]) for n in range(zones)}
 
 
 async def _steps(deployment: Deployment, steps: list[Step], night: Night) -> None:
@@ -157,28 +181,83 @@
         raise ValueError(f"{args.faults}: {wrong}") from None
 
 
+def _as_fleet(args: argparse.Namespace) -> bool:
+    """Zones are left by the whole fleet, by a word in etcd."""
+    return args.zones > 1 and not args.takeover
+
+
+def check(args: argparse.Namespace, night: Night) -> None:
+    """Words that make no sense together. Raises ValueError."""
+    if args.zones < 1:
+        raise ValueError("--zones: there is one zone at least")
+    if not _as_fleet(args):
+        if args.lose_zone is not None:
+            raise ValueError("--lose-zone goes with --zones of two at least, and without --takeover")
+        return
+    if importlib.util.find_spec("msgspec") is None or importlib.util.find_spec("google.protobuf") is None:
+        raise ValueError("--zones goes with the extras takeover and etcd: install lynxreel[takeover,etcd]")
+    if args.lose_zone is not None and not 0 <= args.lose_zone < args.zones:
+        raise ValueError(f"--lose-zone: is {args.lose_zone}, not a zone from 0 to {args.zones - 1}")
+    if args.lose_at < 0 or args.lose_for <= 0:
+        raise ValueError("--lose-at and --lose-for: are seconds, of which the second lasts")
+    if args.workers:
+        raise ValueError("--zones goes without --workers")
+    if any(deed.boxes or deed.do.startswith("list-") for deed in night.deeds):
+        raise ValueError("--zones has its list in etcd: no deeds to boxes or to the list in --faults")
+
+
 async def play(args: argparse.Namespace, folder: Path, night: Night) -> int:
     """The whole command."""
+    if not _as_fleet(args):
+        return await _play(args, folder, night, None)
+    from lynxreel.local.by_etcd import Cluster  # here: it needs the extra `etcd`
+
+    cluster = Cluster()
+    await cluster.etcd.open()
+    try:
+        return await _play(args, folder, night, cluster)
+    finally:
+        cluster.etcd.close()
+
+
+async def _play(args: argparse.Namespace, folder: Path, night: Night, cluster: Cluster | None) -> int:
+    """`cluster`: where the boxes and the word on zones are, where zones are left as a fleet."""
     console = Console(stderr=True)
+    edit: Callable[[str], str] = str
+    zones = 1
+    if cluster is not None:
+        from lynxreel.local import by_etcd
+
+        zones, in_etcd = args.zones, by_etcd.operator((cluster,))
+        edit = lambda text: by_etcd.in_zones(in_etcd(text), zones)  # noqa: E731
     steps = script(args.seed, args.seconds, args.gateways, args.kill, args.drain, args.reload)
     http = importlib.util.find_spec("jsonschema_rs") is not None  # of the extra `openapi`
     link = HttpLink if args.http_boxes else Resp2Link
     deployment = Deployment(
         folder, args.gateways, args.rate, args.seed, args.boxes, http=http, link=link, workers=args.workers,
         takeover=args.takeover, zones=args.zones, wires=_wired(args), keyed=args.takeover,
+        edit=edit, links=cluster is not None,
     )  # fmt: skip
+    lost: Lost | None = None
+    if args.lose_zone is not None:
+        lost = Lost(deployment, zones, Loss(args.lose_zone, args.lose_at, args.lose_for))
     loop = asyncio.get_running_loop()
     ended = asyncio.Event()
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, ended.set)
     try:
-        await deployment.start()
+        if cluster is None:
+            await deployment.start()
+        else:
+            await by_etcd.start(deployment, cluster, zones)
         if not args.quiet:
             console.print(f"operator files, logs and records are in {folder}")
         tasks = [loop.create_task(deployment.play(args.seconds or 1e9))]
         others = [loop.create_task(_steps(deployment, steps, night))]
         if not args.quiet:
-            others.append(loop.create_task(_show(deployment, console)))
+            others.append(loop.create_task(_show(deployment, console, zones)))
+        if lost is not None:
+            others.append(loop.create_task(lost.play()))
         tasks.append(loop.create_task(_wait(ended)))
         await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         for task in [*tasks, *others]:
@@ -189,6 +268,8 @@
         await deployment.front.settle(SETTLE)
         await deployment.stop()
         books = report(deployment, steps)
+        if lost is not None:
+            books["zone"] = {stage: [round(at, 3) for at in heard] for stage, heard in lost.heard().items()}
     finally:
         deployment.close()
     if args.report is not None:
@@ -196,6 +277,7 @@
     if not args.quiet:
         whole = {what: value for what, value in books.items() if isinstance(value, int | float)}
         whole |= {"back": books["back"]} if args.takeover else {}
+        whole |= {"zone": books["zone"]} if lost is not None else {}
         print(json.dumps(whole))
     for problem in books["problems"]:
         print(problem, file=sys.stderr)
@@ -211,8 +293,7 @@
     try:
         script(args.seed, args.seconds, args.gateways, args.kill, args.drain, args.reload)
         night = read_faults(args)
-        if args.takeover and args.zones < 1:
-            raise ValueError("--takeover goes with one zone at least")
+        check(args, night)
     except (ValueError, OSError) as wrong:
         print(f"lynxreel local: {wrong}", file=sys.stderr)
         return 2
--- a/lynxreel/zones/member.py
+++ b/lynxreel/zones/member.py
@@ -170,9 +170,9 @@
         self._stirred |= other
         return other
 
-    def said(self, now: int) -> dict[str, words.Seen]:
-        """What the witnesses say of each zone."""
-        given = self.follower.word, self._places, self._dead, self._reports, now, self._terms
+    def said(self, now: int, load: bool = True) -> dict[str, words.Seen]:
+        """What the witnesses say of each zone. `load`: of what is out there, too."""
+        given = self.follower.word, self._places, self._dead, self._reports, now, self._terms, load
         return {zone: seen(zone, *given) for zone in sorted({*self.boxes.values()})}
 
     # --- the word ---------------------------------------------------------------------------------------
@@ -190,7 +190,9 @@
         if calm and now - self._gone_at < AGAIN:
             return  # what everybody says of every zone is the same as when it was last gone through
         self._stirred, self._gone_at = False, now
-        follows = following(self.follower, self.said(now), now, at, self.name, self._hands)
+        orders = [*self._hands.values(), *(zone.hand for zone in zones)]
+        said = self.said(now, words.LEAVE in orders)
+        follows = following(self.follower, said, now, at, self.name, self._hands)
         if follows is not None:
             self._stirred = True
         if follows is None:
--- a/lynxreel/zones/word.py
+++ b/lynxreel/zones/word.py
@@ -140,10 +140,11 @@
 
 def seen(
     zone: str, word: Word, places: Mapping[str, str], dead: Iterable[str], reports: Mapping[str, Witness],
-    now: int, terms: Terms,
+    now: int, terms: Terms, load: bool = True,
 ) -> Seen:  # fmt: skip
     """What is said of a zone. `places`: the zone of each instance of the fleet, this one's among them.
 
+    `load`: also of what is out there and what the rest bears, which takes as long again.
     While it is tried and returned to, what was seen before the last step says nothing.
     """
     told = word.of(zone)
@@ -171,7 +172,7 @@
             onsets.append(witness.at - failing)
         elif verdict == Verdict.GOOD:
             answers.append(witness.at - without)
-        for other, (there, bears) in witness.report.use.items():
+        for other, (there, bears) in witness.report.use.items() if load else ():
             if other == zone:
                 out += there
             elif not _left(word.of(other)):
