--- a/tests/test_zone_member.py
+++ b/tests/test_zone_member.py
@@ -63,7 +63,10 @@
     answered(made, 1_001, word)
     made.look(2_000, 0)
     assert of(Ask, answered(made, 2_001, Word())) == [Ask(word, lost=True)]
-    assert not of(Ask, answered(made, 2_002, word)) and made.follower.word == word
+    assert not of(Ask, answered(made, 2_002, Word()))  # not again before it is looked at again
+    made.look(3_000, 0)
+    assert of(Ask, answered(made, 3_001, Word())) == [Ask(word, lost=True)]
+    assert not of(Ask, answered(made, 3_002, word)) and made.follower.word == word
 
 
 def test_who_is_behind_for_a_second_is_told_again() -> None:
