A lingering close for both fronts, and clients that go while their connection is not read

Cause, read from the code: Connection._close and the HTTP front's _close ended a connection with transport.close() while a request could lie unread in the system; that close is a reset, and the last answer may be lost with it. Room was made by abort() on the oldest idle connection whatever waited on it. A connection that is not read (64 commands wait, paced, answers unread) never showed that its client had closed, so its requests went on being sent. eof_received was defined nowhere: with answers still in the process, requests of a client that had gone went on until all was read.

Change: fronts/lingering.py stops sending, discards what still comes for 1 s and 1 MiB at most, and closes; both fronts use it. Room is made by connections that are being closed, then by ones on which nothing waits. Connections that are not read are polled for a close every 50 ms. The end of what a client sends says that it has gone.

Ruled out: Nagle (TCP_NODELAY is on, on accepted sockets too).

--- a/lynxreel/fronts/http.py
+++ b/lynxreel/fronts/http.py
@@ -24,6 +24,7 @@
 from lynxreel.engine.engine import Desk
 from lynxreel.fronts.draining import Draining
 from lynxreel.fronts.forwarded import Network, told
+from lynxreel.fronts.lingering import LingeringClose
 from lynxreel.fronts.listeners import Door, Doors, OwnDoors
 from lynxreel.openapi.admission import Admission, Head, Rejected, Whole
 from lynxreel.openapi.repeats import Found, Repeats
@@ -38,7 +39,6 @@
 MOST_BODY = 65_000  # bytes: what a box takes in one string, less what goes round it
 MOST_AHEAD = 65_536  # bytes of later requests that are read while one is served
 PATIENCE = 2.0  # seconds for a head, for a body, and for reading an answer
-LINGER = 1.0  # seconds in which what comes behind a last answer is dropped
 IDLE = 15.0  # seconds without a request after which a connection ends
 SWEEP = 0.25  # seconds between looks for those that have used that up
 LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n\0]*")
@@ -229,7 +229,7 @@
         self._since = web.loop.time()  # of what is owed by the client now
         self._owes = True
         self._unread = self._ending = self._paused = False
-        self._lingers = False  # its answer is the last one, and bytes may come that nobody will read
+        self._lingering = False  # it is being closed: what still comes is discarded
 
     # --- reading ----------------------------------------------------------------------------------------
 
@@ -455,11 +455,11 @@
         """Turned away before anything was counted."""
         body = problem(wrong.status, wrong.title, wrong.detail)
         if not read and self._bodied():
-            self._ending = self._lingers = True  # its body is not read: what follows is not told from it
+            self._ending = True  # its body is not read: what follows is not told from it
         self.answer(wrong.status, PROBLEM, body, tuple(wrong.headers.items()))
 
     def _skip_body(self, headers: dict[str, str], status: int) -> None:
-        self._lingers = self._ending = self._ending or self._bodied()
+        self._ending = self._ending or self._bodied()
         self.answer(status, "", b"", tuple(headers.items()))
 
     def _bodied(self) -> bool:
@@ -468,7 +468,7 @@
 
     def _fatal(self, status: int, title: str, detail: str = "") -> None:
         """What follows can't be told apart: one answer, and the end."""
-        self._ending = self._lingers = True
+        self._ending = True
         body = problem(status, title, detail)
         self._http = None
         phrase = HTTPStatus(status).phrase
@@ -480,31 +480,24 @@
     def _close(self) -> None:
         self._ending = True
         self._buffer.clear()
-        if self.transport.is_closing():
-            return
-        if self._lingers:
-            # What the client still writes is read and dropped: a close before that would be a reset, which
-            # takes the answer away from it.
-            self._since = self.web.loop.time()
-            if self._paused:
-                self.transport.resume_reading()
-            self.transport.write_eof()
+        if self.transport.is_closing() or self._lingering:
             return
-        self.transport.close()
-        if self.transport.get_write_buffer_size():
-            self._owes, self._since = True, self.web.loop.time()
+        self._lingering = True
+        LingeringClose(self.transport, self.web.loop, self.connection_lost)
 
     # --- ends -------------------------------------------------------------------------------------------
 
     def end(self) -> None:
         """Close once nothing is owed and nothing half read."""
-        if self._call is None and self._http is None and not self._buffer and not self._lingers:
+        if self._call is None and self._http is None and not self._buffer:
             self._close()
 
     def look(self, now: float) -> None:
         """End it where its client has used up its time."""
-        if self.transport.is_closing() or self._lingers:
-            if now - self._since > (LINGER if self._lingers else PATIENCE):
+        if self._lingering:
+            return
+        if self.transport.is_closing():
+            if now - self._since > PATIENCE:
                 self.transport.abort()
         elif self._unread or self._owes:
             if now - self._since <= PATIENCE:
--- a/lynxreel/fronts/resp2.py
+++ b/lynxreel/fronts/resp2.py
@@ -6,13 +6,14 @@
 import math
 import re
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from itertools import islice
 from typing import TYPE_CHECKING, cast
 
 from lynxreel.engine.engine import Desk
 from lynxreel.fronts.draining import Draining
+from lynxreel.fronts.lingering import LingeringClose, has_unread, peer_has_closed
 from lynxreel.fronts.listeners import Door, Doors, OwnDoors
 from lynxreel.protocol import commands, resp
 from lynxreel.relay.stream import Stream
@@ -32,6 +33,8 @@
 PATIENCE = 2.5  # seconds for a first command, for the rest of one (slow ones take 2), and for reading answers
 STALL = 10.0  # seconds without a byte of a large value, from the server or to the client
 SWEEP = 0.25  # seconds between looks for connections that have used that up
+CLOSE_CHECK = 0.05  # seconds between looks whether clients whose connections are not read have closed them
+VICTIMS = 16  # connections that are looked at for one that can be closed to make room
 IDLE_LEAST = 2.0  # seconds that one stays open after its last answer
 IDLE_PART = 0.25  # of the connections; of more that have idled for so long, the oldest are closed
 NEW_PART = 0.25  # of the connections; more that have said nothing make room among themselves
@@ -320,6 +323,7 @@
     def _hold(self, why: int) -> None:
         if not self._holds and not self.transport.is_closing():
             self.transport.pause_reading()
+            self._clients.watch_close(self)
         self._holds |= why
 
     def _release(self, why: int) -> None:
@@ -327,10 +331,24 @@
         self._holds &= ~why
         if self._ending or self._holds or self.transport.is_closing():
             return
+        self._clients.held.pop(self, None)
         self._read()
         if not self._holds and not self._ending:
             self.transport.resume_reading()
 
+    def eof_received(self) -> None:
+        """The client has closed its side, which says that it has gone: what it asked for is given up.
+
+        A client that only stops sending can't be told from one that has closed. Answers that were written
+        before this are still sent.
+        """
+        streaming = self._stream is not None
+        self._client_left()
+        if streaming:
+            self.transport.abort()  # what it was being sent can't be made whole
+        else:
+            self._clients.wait_for(self)  # cut off where the answers are never read
+
     def end(self) -> None:
         """Close once nothing is owed, and nothing half read that may still be completed.
 
@@ -346,11 +364,10 @@
 
     def _close(self) -> None:
         self._ending = True
-        if self.transport.is_closing():
+        if self.transport.is_closing() or self in self._clients.lingering:
             return
-        if self.transport.get_write_buffer_size():
-            self._clients.wait_for(self)  # closed when all is written, or cut off when that never happens
-        self.transport.close()
+        self._clients.linger(self)
+        LingeringClose(self.transport, self._clients.loop, self.connection_lost)
 
     def overdue(self) -> None:
         """It has had its time for a command, or for reading its answers."""
@@ -380,9 +397,13 @@
         self._release(self.UNREAD)
 
     def connection_lost(self, error: Exception | None) -> None:
-        """The client has gone; nothing is owed to it any more."""
-        self._ending = True
+        """The connection has ended."""
         self._clients.forget(self)
+        self._client_left()
+
+    def _client_left(self) -> None:
+        """Nothing is owed to the client any more."""
+        self._ending = True
         for call in self.queue:
             if call.request:
                 self._clients.engine.gone(call.request)
@@ -405,6 +426,9 @@
         self.waiting: dict[Connection, float] = {}  # who owes a command, or to read answers; since when
         self.streams: dict[Connection, tuple[int, float]] = {}  # who gets a large value; how much, since when
         self.idle: dict[Connection, float] = {}  # who has been answered, and when; the oldest first
+        self.lingering: dict[Connection, None] = {}  # who is being closed; the oldest first
+        self.held: dict[Connection, None] = {}  # who is not read for now
+        self._checking_closes = False
         self._most = most
         self._listeners: dict[tuple[str, int], Door] = {}
         self._sweeping = False
@@ -440,12 +464,44 @@
         self.wait_for(connection)
         if len(self.connections) <= self._most:
             return
-        silent = next((c for c in self.waiting if not c.queue), connection)
-        crowded = len(self.waiting) > max(1, self._most * NEW_PART)
-        victim = silent if crowded else next(iter(self.idle), silent)
+        victim = next(iter(self.lingering), None) or self._victim(connection)
         self.forget(victim)
         victim.transport.abort()
 
+    def _victim(self, newest: Connection) -> Connection:
+        """Who makes room: one on which nothing waits to be read, as closing it over a request is a reset."""
+        silent = next((c for c in islice(self._silent(), VICTIMS) if not has_unread(c.transport)), newest)
+        if len(self.waiting) > max(1, self._most * NEW_PART):
+            return silent
+        return next((c for c in islice(self.idle, VICTIMS) if not has_unread(c.transport)), silent)
+
+    def _silent(self) -> Iterator[Connection]:
+        """Those that owe a command and have none in the queue, the oldest first."""
+        return (connection for connection in self.waiting if not connection.queue)
+
+    def watch_close(self, connection: Connection) -> None:
+        """A connection is not read any more: look from time to time whether its client has closed it."""
+        self.held[connection] = None
+        if not self._checking_closes:
+            self._checking_closes = True
+            self.loop.call_later(CLOSE_CHECK, self._check_closes)
+
+    def _check_closes(self) -> None:
+        """Guards servers against work for clients that have gone, which nothing else shows while unread."""
+        for connection in list(self.held):
+            if peer_has_closed(connection.transport):
+                connection.transport.abort()
+        self._checking_closes = bool(self.held)
+        if self._checking_closes:
+            self.loop.call_later(CLOSE_CHECK, self._check_closes)
+
+    def linger(self, connection: Connection) -> None:
+        """A connection is being closed: it owes nothing, but takes its place until it has ended."""
+        self.waiting.pop(connection, None)
+        self.idle.pop(connection, None)
+        self.held.pop(connection, None)
+        self.lingering[connection] = None
+
     def wait_for(self, connection: Connection, again: bool = False) -> None:
         """It owes something: since now, also where it did before but that has come."""
         if again:
@@ -455,7 +511,8 @@
     def rest(self, connection: Connection) -> None:
         """All is answered on it."""
         self.idle.pop(connection, None)
-        if connection in self.connections and connection not in self.waiting:
+        known = connection in self.connections and connection not in self.lingering
+        if known and connection not in self.waiting:
             self.idle[connection] = self.loop.time()
 
     def forget(self, connection: Connection) -> None:
@@ -464,6 +521,8 @@
         self.waiting.pop(connection, None)
         self.idle.pop(connection, None)
         self.streams.pop(connection, None)
+        self.lingering.pop(connection, None)
+        self.held.pop(connection, None)
 
     def sweep(self) -> None:
         """End the connections whose time for what they owe is up, and those that have idled long, if many.
--- a/tests/net.py
+++ b/tests/net.py
@@ -23,6 +23,12 @@
     uvloop.run(asyncio.wait_for(scenario(), 10))
 
 
+async def until(true: Callable[[], bool]) -> None:
+    """Give the loop turns until something holds; `run` bounds the time for that."""
+    while not true():
+        await asyncio.sleep(0)
+
+
 def resp(*words: bytes) -> bytes:
     return pack(list(words))
 
--- /dev/null
+++ b/tests/test_client_closes.py
@@ -0,0 +1,221 @@
+"""Connections of clients that end at a bad moment: over unread bytes, while not read, or on one side only."""
+
+import asyncio
+import select
+import socket
+from collections.abc import Awaitable, Callable
+from typing import cast
+
+import pytest
+
+from lynxreel.engine.engine import Engine
+from lynxreel.fronts import lingering, resp2
+from lynxreel.fronts.resp2 import MOST_OPEN, Clients, Connection
+from tests.net import LOCAL, TERMS, Heard, call, resp, run, until
+
+PING, PONG = resp(b"PING"), b"+PONG\r\n"
+SERVED = b"$3\r\none\r\n"
+
+
+class Client:
+    """A client's blocking socket: what it writes lies in the gateway's system before the loop has a turn."""
+
+    def __init__(self, port: int) -> None:
+        self.socket = socket.create_connection((LOCAL, port), timeout=5)
+        self._loop = asyncio.get_running_loop()
+
+    async def read(self, length: int) -> bytes:
+        """So many bytes, or fewer and the end. Raises ConnectionResetError where the connection is reset."""
+        self.socket.setblocking(False)
+        data = b""
+        while len(data) < length and (more := await self._loop.sock_recv(self.socket, length - len(data))):
+            data += more
+        self.socket.settimeout(5)
+        return data
+
+    async def rest(self) -> bytes:
+        """All until the end of the connection."""
+        return await self.read(1 << 20)
+
+
+Connect = Callable[[], Awaitable[tuple[Client, Connection]]]
+Scenario = Callable[[Heard, Clients, Connect], Awaitable[None]]
+
+
+def play(scenario: Scenario, most: int = 8) -> None:
+    async def start() -> None:
+        heard = Heard()
+        clients = Clients(cast(Engine, heard), TERMS, most, asyncio.get_running_loop())
+        await clients.listen(LOCAL, 0)
+        opened: list[Client] = []
+
+        async def connect() -> tuple[Client, Connection]:
+            """A client that has had an answer, and the gateway's side of its connection."""
+            known = set(clients.connections)
+            client = Client(clients.port)
+            opened.append(client)
+            client.socket.sendall(PING)
+            assert await client.read(len(PONG)) == PONG
+            (connection,) = clients.connections - known
+            return client, connection
+
+        try:
+            await scenario(heard, clients, connect)
+        finally:
+            for client in opened:
+                client.socket.close()
+            for connection in list(clients.connections):
+                connection.transport.abort()
+
+    run(start)
+
+
+def arrive(client: Client, connection: Connection, data: bytes) -> None:
+    """Bytes of the client lie unread at the gateway when this returns; its loop has had no turn meanwhile."""
+    client.socket.sendall(data)
+    poll = select.poll()
+    poll.register(connection.transport.get_extra_info("socket").fileno(), select.POLLIN)
+    assert poll.poll(5_000)
+
+
+def test_a_request_that_crosses_the_close_of_a_resting_connection_is_discarded_and_not_reset() -> None:
+    async def scenario(heard: Heard, clients: Clients, connect: Connect) -> None:
+        client, connection = await connect()
+        arrive(client, connection, call(1))
+        connection.end()
+        assert await client.rest() == b""
+        client.socket.close()
+        await until(lambda: not clients.connections)
+        assert heard.calls.empty()
+
+    play(scenario)
+
+
+def test_an_answer_is_read_whole_though_garbage_behind_its_request_is_never_read() -> None:
+    async def scenario(heard: Heard, clients: Clients, connect: Connect) -> None:
+        client, connection = await connect()
+        client.socket.sendall(call(1) + b"no command\r\n")
+        first = await heard.calls.get()  # reading has stopped: what comes now stays in the system
+        arrive(client, connection, b"x" * 10_000)
+        first.served(b"one")
+        answer = await client.rest()
+        assert answer.startswith(SERVED + b"-ERR Protocol error")
+
+    play(scenario)
+
+
+def test_a_client_that_goes_on_sending_after_the_close_is_cut_off(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(lingering, "DISCARD_LIMIT", 1_000)
+    monkeypatch.setattr(lingering, "LINGER_SECONDS", 3_600.0)
+
+    async def scenario(heard: Heard, clients: Clients, connect: Connect) -> None:
+        client, connection = await connect()
+        connection.end()
+        assert await client.rest() == b""
+        client.socket.sendall(b"x" * 2_000)
+        await until(lambda: not clients.connections)
+        assert heard.calls.empty()
+
+    play(scenario)
+
+
+def test_a_client_that_never_closes_is_cut_off_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(lingering, "LINGER_SECONDS", 0.01)
+
+    async def scenario(heard: Heard, clients: Clients, connect: Connect) -> None:
+        client, connection = await connect()
+        connection.end()
+        assert await client.rest() == b""
+        await until(lambda: not clients.connections)
+
+    play(scenario)
+
+
+def test_room_is_made_by_a_connection_on_which_no_request_waits_to_be_read() -> None:
+    async def scenario(heard: Heard, clients: Clients, connect: Connect) -> None:
+        oldest, of_oldest = await connect()
+        second, _ = await connect()
+        of_oldest.transport.pause_reading()  # its request lies in the system while the third one comes
+        arrive(oldest, of_oldest, PING)
+        third, _ = await connect()
+        assert await second.rest() == b""
+        of_oldest.transport.resume_reading()
+        assert await oldest.read(len(PONG)) == PONG
+        third.socket.sendall(PING)
+        assert await third.read(len(PONG)) == PONG
+
+    play(scenario, most=2)
+
+
+def test_a_closing_connection_makes_room_before_one_that_is_in_use() -> None:
+    async def scenario(heard: Heard, clients: Clients, connect: Connect) -> None:
+        idle, _ = await connect()
+        closing, of_closing = await connect()
+        of_closing.end()
+        await connect()
+        assert of_closing not in clients.connections
+        idle.socket.sendall(PING)
+        assert await idle.read(len(PONG)) == PONG
+
+    play(scenario, most=2)
+
+
+def test_a_client_that_closes_while_its_connection_is_not_read_has_gone() -> None:
+    async def scenario(heard: Heard, clients: Clients, connect: Connect) -> None:
+        client, connection = await connect()
+        client.socket.sendall(b"".join(call(number) for number in range(MOST_OPEN)))
+        for _ in range(MOST_OPEN):
+            await heard.calls.get()
+        arrive(client, connection, call(MOST_OPEN))  # not read: as many as allowed wait for their answers
+        client.socket.close()
+        left = {await heard.left.get() for _ in range(MOST_OPEN)}
+        assert left == set(range(1, MOST_OPEN + 1))
+        assert heard.calls.empty()
+
+    play(scenario)
+
+
+def test_a_client_that_only_stops_sending_has_gone_and_still_gets_what_was_answered() -> None:
+    async def scenario(heard: Heard, clients: Clients, connect: Connect) -> None:
+        client, _ = await connect()
+        client.socket.sendall(call(1) + call(2))
+        first, second = await heard.calls.get(), await heard.calls.get()
+        first.served(b"one")
+        client.socket.shutdown(socket.SHUT_WR)
+        assert await heard.left.get() == 2
+        second.served(b"two")
+        assert await client.rest() == SERVED
+        await until(lambda: not clients.connections)
+
+    play(scenario)
+
+
+def test_a_client_that_stops_sending_and_reading_has_gone_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(resp2, "PATIENCE", 3_600.0)
+
+    async def scenario(heard: Heard, clients: Clients, connect: Connect) -> None:
+        client, connection = await connect()
+        own = connection.transport.get_extra_info("socket")
+        own.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 50_000)
+        client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 10_000)
+        client.socket.sendall(b"".join(call(number) for number in range(MOST_OPEN - 1)))
+        calls = [await heard.calls.get() for _ in range(MOST_OPEN - 1)]
+        while not connection.transport.get_write_buffer_size():  # the system takes no more for the client
+            calls.pop(0).served(b"x" * 20_000)
+            for _ in range(20):  # the loop writes what it was given
+                await asyncio.sleep(0)
+        assert not connection._holds  # the connection is read: what follows shows there
+        client.socket.shutdown(socket.SHUT_WR)
+        left = {await heard.left.get() for _ in calls}
+        assert left == set(range(MOST_OPEN - len(calls), MOST_OPEN))
+
+    play(scenario)
+
+
+def test_answers_are_not_held_back_by_the_system() -> None:
+    async def scenario(heard: Heard, clients: Clients, connect: Connect) -> None:
+        _, connection = await connect()
+        own = connection.transport.get_extra_info("socket")
+        assert own.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+    play(scenario)
