Lists that have to be asked for are no older than 6 s whatever failed before

Cause: for a service that the whole fleet calls, freshness.py waited 2.5 s for a sign of life, up to 2 s by chance and 5 s for one call, and backoff.shared let waits grow to 20 s in the mean (30 s at most) in fleets of 100 and more.

Change: 2.5 + 1 + 2.25 s after silence (a service gives calls up itself after 2 s); waits of 2.5 s in the mean at most. Only where more than three calls in a row were turned away do waits grow, to 8 s in the mean: a service that bears one call of each instance in 8 s could else be kept from answering any (40 instances at 5 calls a second in test_backoff). That exception is the one case left in which a list may be older; lists that are pushed had their bound already.

--- a/lynxreel/sources/freshness.py
+++ b/lynxreel/sources/freshness.py
@@ -13,7 +13,9 @@
   it has counts as told to this instance, whether or not a watch is open. It is called again within a fraction
   of the grace for drains, however large the fleet is, until it answers.
 - a service that the whole fleet calls, and at which a call may wait: it is called once at a time, and the
-  waits after a failure grow with failures and with the fleet (`backoff.shared`).
+  waits after a failure grow with failures and with the fleet (`backoff.shared`). Whatever has failed, it is
+  called again soon enough for news to be here within 6 s of its being there to be had: silence, the time over
+  which a fleet comes back and one call come to less, and so do a wait and one call.
 """
 
 from __future__ import annotations
@@ -22,14 +24,14 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from lynxreel.backoff import Backoff, shared
+from lynxreel.backoff import CROWDED_MOST, Backoff, shared
 
 QUIET = 2.5  # seconds without a whole line: a sign of life comes every 2 s
 OFTEN = 0.25  # seconds between calls to an agent that does not answer: half of the usual grace for a drain
 SOON = 0.05  # seconds of the mean wait after an agent's watch has ended
 BESIDE = 4  # calls that may wait for an agent's answer at once; a loop that stood still finds one answered
-WAITS = 5.0  # seconds that a call may wait at a service for its turn
-SPREAD = 2.0  # seconds over which a fleet comes back whose watches on a service fell silent together
+WAITS = 2.25  # seconds that a call may wait at a service for its turn: it gives calls up itself after 2 s
+SPREAD = 1.0  # seconds over which a fleet comes back whose watches on a service fell silent together
 
 
 class End(Enum):
@@ -159,9 +161,9 @@
         self._trials[self._number] = _Trial(now)
         return [*actions, Open(self._number)]
 
-    def _again(self, now: float) -> None:
-        """A call has failed: the next one follows, if it is not due sooner."""
-        at = now + self._backoff.wait()
+    def _again(self, now: float, crowded: bool = False) -> None:
+        """A call has failed: the next one follows, if it is not due sooner. `crowded`: it was turned away."""
+        at = now + self._backoff.wait(CROWDED_MOST if crowded and not self._terms.agent else 0.0)
         if self._next is None or at < self._next:
             self._next = at
 
@@ -194,7 +196,7 @@
         elif self._trials.pop(watch, None) is None:
             return []
         if not self._trials or self._terms.agent:
-            self._again(now)
+            self._again(now, how is End.TURNED_AWAY)
         return self._tell(f"the watch on discovery {how.value}{why and f' ({why})'}: another is opened")
 
     def moved(self, now: float) -> list[Action]:
