A whole list that is older than what another watch has told is asked for again

Cause: Discovery.take replaced the list by any whole list. While two watches are open, one of them may give a whole list that was made before a change which the other has told since; a drain was taken back by it until told anew. And a service that counts its versions anew was resumed from the old count if the other watch told one line more meanwhile.

Change: a whole list between the version that its watch asked from and the one at hand ends that watch; the next one asks again. After a count that went back, watches ask from the start until one that did has told something.

--- a/lynxreel/sources/platform.py
+++ b/lynxreel/sources/platform.py
@@ -67,7 +67,7 @@
         self._discovery, self.number = discovery, number
         self._http = h11.Connection(h11.CLIENT)
         self._objects = Objects()
-        self.version = discovery.version  # of the last line
+        self.version = self.asked_from = discovery.version  # of the last line; and what it was opened with
         self._transport: asyncio.Transport | None = None
         self._ended = False
         self._task = discovery.loop.create_task(self._connect(discovery.address))
@@ -85,7 +85,7 @@
         if self._ended:
             transport.abort()
             return
-        self.version = self._discovery.version
+        self.version = self.asked_from = self._discovery.resume_from
         target = f"/v1/servers?watch=1&from={self.version}"
         host = ":".join(map(str, self._discovery.address))
         request = h11.Request(method="GET", target=target, headers=[("Host", host)])
@@ -143,6 +143,7 @@
         self.loop = loop
         self.decide = Freshness(terms, chance)
         self.version = version
+        self._counts_anew = False  # the service has begun to count its versions from the start again
         self.told = asyncio.Event()  # something has been heard since the start
         self.address, self._names, self._news = address, names, news
         self._watches: dict[int, _Watch] = {}
@@ -163,20 +164,31 @@
         self._follow(self.decide.moved(self.loop.time()))
         self._tick()
 
+    @property
+    def resume_from(self) -> int:
+        """The version from which a new watch is asked for."""
+        return 0 if self._counts_anew else self.version
+
     def take(self, watch: _Watch, data: Any) -> None:
         """One whole line of a watch: a part of the list, or None for a sign of life.
 
-        A whole list replaces what is known. Changes up to a version that is known already tell nothing new:
-        an older watch has told them. Changes that go back on their own watch come from a service that has
-        begun to count anew: what it has is asked for from the beginning. Raises one of `UNREADABLE` where the
-        line is no list.
+        A whole list replaces what is known, unless it is older than what another watch has told since this
+        one was opened: then it is asked for again, as it would take back what is known. Changes up to a
+        version that is known already tell nothing new: an older watch has told them. Changes that go back on
+        their own watch come from a service that has begun to count anew: what it has is asked for from the
+        beginning. Raises one of `UNREADABLE` where the line is no list.
         """
         if data is not None:
             members, lines = read_list(data, self._names)
             whole = members.kind is ListKind.FULL
             if not whole and members.version < watch.version:
-                self.version = 0
+                self._counts_anew = True
                 raise ValueError(f"version {members.version} after {watch.version}")
+            if whole and not self._counts_anew and watch.asked_from <= members.version < self.version:
+                raise ValueError(f"a whole list of version {members.version} after {self.version}")
+            if self._counts_anew and watch.asked_from == 0:
+                self._counts_anew = False
+                self.version = 0
             watch.version = members.version
             if whole or members.version >= self.version:
                 self.version = members.version
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -171,6 +171,42 @@
     play(scenario, AGENT)
 
 
+def test_a_service_that_counts_anew_is_asked_from_the_beginning_though_an_old_watch_tells_on(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
+        await beside(peer)
+        peer.writers[0].write(chunk(line(3)))
+        while (await peer.hear())[1]:  # the first watch has been left
+            pass
+        peer.writers[1].write(HEAD + chunk(line(44)))
+        assert [(await told.get())[0].version for _ in range(2)] == [42, 44]
+        peer.writers[1].close()
+        while b"from=0 " not in (await peer.hear())[1]:
+            pass
+
+    monkeypatch.setattr(freshness, "QUIET", 0.05)
+    play(scenario, AGENT)
+
+
+def test_a_whole_list_that_is_older_than_what_another_watch_has_told_is_asked_for_again(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario(peer: Peer, told: Told, watch: Discovery) -> None:
+        await beside(peer)
+        peer.writers[0].write(chunk(line(43, lifecycle="DRAINING")))
+        assert [(await told.get())[0].version for _ in range(2)] == [42, 43]
+        peer.writers[1].write(HEAD + chunk(line(42, reset=True)))  # the drain is not in it
+        while b"from=43 " not in (await peer.hear())[1]:
+            pass
+        assert told.empty()
+        peer.writers[-1].write(HEAD + chunk(line(43, reset=True, lifecycle="DRAINING")))
+        assert (await told.get())[0].kind is ListKind.FULL
+
+    monkeypatch.setattr(freshness, "QUIET", 0.05)
+    play(scenario, AGENT)
+
+
 def test_a_move_calls_the_new_place_at_once_though_a_call_to_the_old_one_waits(
     monkeypatch: pytest.MonkeyPatch
 ) -> None:
