Keyed repeats leave time for a connect, and SIGHUP counts until the end

Cause: Gateway._fits let a keyed request be sent again up to the end of the time for which servers know its key, but the attempt may wait for a connection (250 ms) and is then written when the key is forgotten: the effect runs twice. Life drops a reload once a stop was asked for, so that a gateway which still owed answers never heard of drains at the place that SIGHUP named, and its calls to the counter failed.

Change: the time for a connect is kept free of the window; the platform's program moves its addresses until it ends.

Measured: a test each, seen to fail without; the tests' referee holds every keyed repeat to the new bound. Decisions change for keyed classes alone, in the last connect time of the window.

--- a/lynxreel/__main__.py
+++ b/lynxreel/__main__.py
@@ -95,6 +95,13 @@
             self.node.hold(True)
         self.started()
 
+    def ask(self, ask: Ask) -> None:
+        """An operator's wish, by a signal. Addresses that move matter to requests that are still owed."""
+        if ask is Ask.RELOAD and self.life.ending:
+            self._move()
+        else:
+            super().ask(ask)
+
     def do(self, do: Do) -> None:
         """Carry out what is the program's own. Pings are not told of a stop: the drain tells."""
         match do:
--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -850,7 +850,8 @@
             if job.cls.effect is Effect.ONCE:
                 return False
             if job.cls.effect is Effect.KEYED:
-                if self._now - sent >= job.cls.key_memory - self._s.tick:
+                # It may be written only when a connection has come up, and has to be there within the window.
+                if self._now - sent >= job.cls.key_memory - self._s.tick - self._s.limits.connect_timeout:
                     return False
                 if job.cls.group is Group.ZONE and line.zone != server.line.zone:
                     return False
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -215,7 +215,8 @@
                 same = cls.group is Group.ALL or (
                     here.zone == there.zone if cls.group is Group.ZONE else here.cell == there.cell
                 )
-                if not same or self.now - sent > cls.key_memory:
+                # A connection may have to come up before it is written.
+                if not same or self.now + limits.connect_timeout - sent > cls.key_memory:
                     raise RuleBroken("a keyed request left its group or its time")
         if not life.sent:
             self.check_ceiling(life.request)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -45,6 +45,16 @@
     assert kinds(driver.outcome(send.request, Result.ERROR)) in (["Refuse"], ["Fail"])
 
 
+def test_a_keyed_request_is_not_sent_again_where_a_late_connection_would_outlast_its_key() -> None:
+    limits = replace(SETTINGS.limits, connect_timeout=250 * MS)
+    for after, again in ((1_700 * MS, True), (1_800 * MS, False)):  # the key is known for two seconds
+        driver = Driver(replace(SETTINGS, limits=limits, classes=tuple(
+            replace(cls, aim=3 * SECOND) for cls in SETTINGS.classes)))  # fmt: skip
+        send = driver.admitted(cls=KEYED)
+        driver.now += after
+        assert (kinds(driver.outcome(send.request, Result.ERROR)) == ["Send"]) is again
+
+
 def test_a_keyed_request_stays_in_its_cell() -> None:
     celled = RequestClass(
         Effect.KEYED, aim=SECOND, deadline=3 * SECOND, worth=1.0, group=Group.CELL, key_memory=SECOND
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -142,5 +142,43 @@
             stack.enter_context(next_counter.accept()[0])
         process.send_signal(signal.SIGTERM)
         process.send_signal(signal.SIGHUP)
+        assert client.recv(64) == b""
+        client.close()  # the gateway waits a moment for that before it resets the connection
         assert process.wait(timeout=30) == 0
         assert process.communicate() == (b"", b"")
+
+
+def test_sighup_moves_a_gateway_that_has_been_told_to_end_and_still_owes_an_answer(tmp_path: Path) -> None:
+    # Its servers may leave, and its further attempts are counted, for as long as it owes anything.
+    with contextlib.ExitStack() as stack:
+        peers = [stack.enter_context(socket.create_server(("127.0.0.1", 0))) for _ in range(5)]
+        (discovery, _, next_discovery, _, server), listen = peers, free_port()
+        ports = [peer.getsockname()[1] for peer in peers]
+        told = config(ports[0], ports[1], listen)
+        told["known"]["instances"][0]["hostPort"] = f"127.0.0.1:{ports[4]}"
+        patient = {**NAMED["classes"][0], "goalTimeUs": 3_000_000}
+        told["settings"] = {**NAMED, "extra": {"counter": False}, "classes": [patient]}
+        process = stack.enter_context(start(tmp_path, json.dumps(told)))
+        stack.enter_context(discovery.accept()[0])
+        client = stack.enter_context(connect(listen, process))
+        words = (b"CALL.GET", b"0" * 14 + b"ab", b"1", b"c=lookup,t=basic,d=2900")
+        client.sendall(b"*4\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words))
+        attempt = stack.enter_context(server.accept()[0])
+        assert attempt.recv(4096).startswith(b"*4\r\n$8\r\nCALL.GET")
+        process.send_signal(signal.SIGTERM)
+        while True:  # until its listener is closed: it ends as soon as nothing is owed
+            try:
+                socket.create_connection((GATEWAY, listen), timeout=30).close()
+            except ConnectionRefusedError:
+                break
+
+        told |= {"discovery": f"127.0.0.1:{ports[2]}", "counter": f"127.0.0.1:{ports[3]}"}
+        (tmp_path / "config.json").write_text(json.dumps(told))
+        process.send_signal(signal.SIGHUP)
+        next_discovery.settimeout(1.0)
+        watch = stack.enter_context(next_discovery.accept()[0])
+        assert watch.recv(4096).startswith(b"GET /v1/servers?watch=1&from=41 ")
+        attempt.sendall(b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n")
+        assert client.recv(64) == b"$5\r\nvalue\r\n"
+        client.close()
+        assert process.wait(timeout=30) == 0
