--- /dev/null
+++ b/tests/test_cold_servers.py
@@ -0,0 +1,100 @@
+"""A server that has just started, under the sum of what all gateways of a fleet send it; virtual time."""
+
+import math
+import random
+from collections import deque
+from dataclasses import replace
+
+import pytest
+
+from mothgap.interface import Action, Limits, ListKind, Members, Plan, Send, Settings, State
+from tests.gateways import Gateways
+from tests.helpers import SECOND, SETTINGS, line
+
+CAPACITY = 20.0  # requests of mean work a second that a warm server bears
+USE = 0.45  # of that, outside bursts
+SERVERS = 6
+SAFETY = replace(
+    SETTINGS.safety, cold_from=0.17, cold_span=12 * SECOND, fall_multiple=2.0, fall_span=2 * SECOND
+)
+
+
+def settings(fleet: int) -> Settings:
+    """Quotas play no part here."""
+    return replace(
+        SETTINGS, fleet_size=fleet, plans=(Plan(rate=0.0, burst=0.0),), counter=None, safety=SAFETY,
+        limits=Limits(max_attempts=1),
+    )  # fmt: skip
+
+
+class Day:
+    """A fleet under load with one cold server; keeps what was sent to that one in each span of the rule."""
+
+    def __init__(self, fleet: int, seed: int) -> None:
+        self.gateways = Gateways(settings(fleet), seed, servers=SERVERS)
+        self.gateways.on = self.sent
+        self.chance = random.Random(seed)
+        self.started = 0
+        self.recent: deque[int] = deque()
+        self.worst = 0.0  # sends within a span, as a share of what the rule allows
+
+    def sent(self, gateway: int, action: Action) -> None:
+        """Hold a send to the cold server against the rule."""
+        now = self.gateways.now
+        if not isinstance(action, Send) or action.server != line(1).server or now < self.started:
+            return
+        self.recent.append(now)
+        while self.recent[0] <= now - SAFETY.fall_span:
+            self.recent.popleft()
+        age = min(1.0, (now - self.started) / SAFETY.cold_span)
+        grown = SAFETY.cold_from + (1.0 - SAFETY.cold_from) * age
+        allowed = SAFETY.fall_multiple * grown * CAPACITY * SAFETY.fall_span / SECOND
+        self.worst = max(self.worst, len(self.recent) / (allowed + 2.0 * math.sqrt(allowed) + 2.0))
+
+    def load(self, seconds: float, times: float = 1.0) -> None:
+        """So many seconds of requests that come by chance, so many times as many as usual."""
+        end = self.gateways.now + int(seconds * SECOND)
+        rate = CAPACITY * USE * SERVERS * times
+        while (at := self.gateways.now + int(self.chance.expovariate(rate) * SECOND)) < end:
+            self.gateways.run(at)
+            gateway = self.chance.randrange(len(self.gateways.gateways))
+            customer = self.chance.randrange(1_000)
+            self.gateways.request(
+                gateway, cls=0, plan=0, customer=customer, units=1.0, time_left=2 * SECOND, entry_points=1)
+        self.gateways.run(end)
+
+    def start(self, late: float = 0.0) -> None:
+        """The first server starts anew under its id; each gateway hears of it within so many seconds."""
+        self.started = self.gateways.now
+        self.recent.clear()
+        self.worst = 0.0
+        member = replace(line(1), state=State.READY, started_at=self.started)
+        for number in range(len(self.gateways.gateways)):
+            news = Members(ListKind.CHANGES, 2, (member,))
+            self.gateways.later(int(self.chance.uniform(0.0, late) * SECOND), number, news, any_life=True)
+
+
+@pytest.mark.parametrize("fleet", [4, 20, 30, 200])
+@pytest.mark.parametrize("quiet", [0.0, 1.0, 4.0, 8.0])
+def test_no_burst_pushes_a_server_over_that_came_back_under_its_id(fleet: int, quiet: float) -> None:
+    for seed in range(4):
+        day = Day(fleet, seed)
+        day.load(12.0)
+        day.start()
+        day.load(quiet, times=0.05)  # next to nothing comes: what gateways save up is not used
+        day.load(3.0, times=4.0)
+        assert day.worst < 1.0
+
+
+@pytest.mark.parametrize("fleet", [20, 30])
+def test_gateways_that_restart_while_a_server_is_cold_do_not_push_it_over(fleet: int) -> None:
+    for seed in range(4):
+        day = Day(fleet, seed)
+        day.load(12.0)
+        day.start()
+        cold = replace(line(1), started_at=day.started)
+        day.gateways.lines = (cold, *day.gateways.lines[1:])
+        for number in range(fleet):
+            day.gateways.restart(number)
+        day.load(4.0, times=4.0)
+        assert day.worst < 1.0
