--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -169,6 +169,8 @@
         while True:  # until its listener is closed: it ends as soon as nothing is owed
             try:
                 socket.create_connection((GATEWAY, listen), timeout=30).close()
+            except ConnectionResetError:
+                continue  # it fell into the close
             except ConnectionRefusedError:
                 break
 
