Shutdowns tell what is read late, where it goes and how it ends

Need: the release's log had no line on a shutdown, so the incident's hypotheses could not be told apart. Change: each state of a shutdown, each request read while connections are closed (connection's history, time left), its attempts and its end are logged with the seconds since the stop, bounded to 10 lines a second; counts at the end and in the daemon's record 'stopped'.

--- a/lynxreel/daemon/instance.py
+++ b/lynxreel/daemon/instance.py
@@ -92,8 +92,15 @@
                 case Do.TAKE_BACK:
                     log("undrained: clients are taken")
                     self.node.take_back()
+                case Do.SAY_LEAVING:
+                    self.node.follow_shutdown(self.life.state.value)
                 case Do.CLOSE:
+                    if self.node.shutdown is not None:
+                        self.node.shutdown.draining = True
                     self.later(self._drain())
+                case Do.EXIT:
+                    if self.node.shutdown is not None:
+                        self.node.shutdown.finish(self.node.connections, self.node.engine.owed())
             self.do(do)
 
     async def _drain(self) -> None:
--- a/lynxreel/daemon/serve.py
+++ b/lynxreel/daemon/serve.py
@@ -218,7 +218,9 @@
                     log(f"the drain's time is up: {self._left} connections are cut off")
             case Do.EXIT:
                 self._write_counts(True)
-                self._record("stopped", {"left": self._left})
+                report = self.node.shutdown
+                counts = report.counts() if report is not None else {}
+                self._record("stopped", {"left": self._left, **counts})
                 self._write_state()
 
     async def _reload(self) -> None:
--- a/lynxreel/engine/engine.py
+++ b/lynxreel/engine/engine.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
+from lynxreel.engine.shutdown_report import ShutdownReport
 from lynxreel.log import log
 from mothgap import interface as api
 from mothgap import view
@@ -187,6 +188,7 @@
         self.tally: Tally | None = None
         self.peers: Peers | None = None
         self.watch: Watch | None = None
+        self.shutdown: ShutdownReport | None = None  # once the process is to end
         self.sees: Callable[[str, api.Result], None] | None = None  # how attempts at servers end
         self._settings = settings
         self._loop = loop
@@ -277,6 +279,8 @@
             self.watch.ended(attempt, result)
         if self.sees is not None:
             self.sees(attempt.server, result)
+        if self.shutdown is not None:
+            self.shutdown.attempt_ended(attempt.call.id, attempt.number, result.value)
         if result is api.Result.OK and (closed := self._close(attempt.request, "served")) is not None:
             closed.call.served(value)
         elif not isinstance(value, bytes):
@@ -385,7 +389,10 @@
         attempt = Attempt(action.request, number, action.server, held, now)
         held.out += 1
         self._out[(attempt.request, attempt.number)] = attempt
-        self.backend.send(attempt, min(action.timeout or left, left))  # 0: until the client gives up
+        timeout = min(action.timeout or left, left)  # 0: until the client gives up
+        if self.shutdown is not None:
+            self.shutdown.attempt_begun(held.call.id, number, action.server, timeout / 1e6)
+        self.backend.send(attempt, timeout)
 
     def _close(self, request: int, how: str, cause: api.Cause | None = None) -> Open | None:
         """The request's one answer is due now, unless it has had it."""
@@ -395,6 +402,8 @@
         held.over = True
         if self.tally is not None:
             self.tally.ended(held.call.cls, held.call.plan, how, cause)
+        if self.shutdown is not None:
+            self.shutdown.request_ended(held.call.id, how, "" if cause is None else cause.value)
         held.deadline.cancel()
         self._forget_id(held)
         return held
--- a/lynxreel/fronts/http.py
+++ b/lynxreel/fronts/http.py
@@ -22,6 +22,7 @@
 import h11
 
 from lynxreel.engine.engine import Desk
+from lynxreel.engine.shutdown_report import ConnectionHistory, ShutdownReport
 from lynxreel.fronts.draining import Draining
 from lynxreel.fronts.forwarded import Network, told
 from lynxreel.fronts.lingering import LingeringClose
@@ -228,6 +229,8 @@
         self._peer = ""
         self._since = web.loop.time()  # of what is owed by the client now
         self._owes = True
+        self._fresh = True  # nothing has come on it
+        self._history = ConnectionHistory.NEW  # before the bytes that are being read
         self._unread = self._ending = self._paused = False
         self._lingering = False  # it is being closed: what still comes is discarded
 
@@ -252,12 +255,24 @@
         """Read what is whole; keep the rest, within bounds."""
         if self._ending:
             return
+        if self.web.report is not None:
+            self._history = self._state()
+        self._fresh = False
         self._buffer += data
         self._read()
         if len(self._buffer) > MOST_AHEAD and not self._paused and not self.transport.is_closing():
             self._paused = True
             self.transport.pause_reading()
 
+    def _state(self) -> ConnectionHistory:
+        """What this connection has carried so far."""
+        if self._fresh:
+            return ConnectionHistory.NEW
+        if self._call is not None:
+            return ConnectionHistory.BUSY
+        half = self._buffer or self._http is not None
+        return ConnectionHistory.HALF_READ if half else ConnectionHistory.RESTING
+
     def _read(self) -> None:
         while self._call is None and not self._ending and not self._unread and self._buffer:
             if self._http is None and not self._begin():
@@ -377,6 +392,8 @@
             if not call.request:
                 self._call = None
                 raise Rejected(409, "Running", "a request under this id is open")
+            if (report := self.web.report) is not None:
+                report.request_read(call.id, call.cls, self._history, call.patience / 1e3)
         except Rejected as wrong:
             self._reject(wrong, read=True)
 
@@ -577,6 +594,7 @@
         self.engine, self.serving, self.loop = engine, serving, loop
         self.connections: set[Connection] = set()
         self.draining = Draining(self, loop)
+        self.report: ShutdownReport | None = None  # once the process is to end
         self._most = most
         self._listeners: dict[tuple[str, int], Door] = {}
         self._sweeping: asyncio.TimerHandle | None = None
--- a/lynxreel/fronts/resp2.py
+++ b/lynxreel/fronts/resp2.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, cast
 
 from lynxreel.engine.engine import Desk
+from lynxreel.engine.shutdown_report import ConnectionHistory, ShutdownReport
 from lynxreel.fronts.draining import Draining
 from lynxreel.fronts.lingering import LingeringClose, has_unread, peer_has_closed
 from lynxreel.fronts.listeners import Door, Doors, OwnDoors
@@ -174,6 +175,7 @@
         self._reader = resp.Reader(MOST_WORDS)
         self._holds = 0
         self._fresh = True  # nothing has come on it
+        self._history = ConnectionHistory.NEW  # before the bytes that are being read
         self._ending = False  # nothing more is read; closed once all is answered
         self._stream: Stream | None = None  # what the first in the queue is being answered with
         self._whole = False  # all of that has been written, perhaps not sent
@@ -187,11 +189,21 @@
 
     def data_received(self, data: bytes) -> None:
         """Read what is whole; keep the rest, within bounds."""
+        if self._clients.report is not None:
+            self._history = self._state()
         self._fresh = False
         if not self._ending:
             self._reader.feed(data)
             self._read()
 
+    def _state(self) -> ConnectionHistory:
+        """What this connection has carried so far."""
+        if self._fresh:
+            return ConnectionHistory.NEW
+        if self.queue:
+            return ConnectionHistory.BUSY
+        return ConnectionHistory.RESTING if self._reader.empty() else ConnectionHistory.HALF_READ
+
     def _read(self) -> None:
         """Take what is whole, as long as there is room for more answers."""
         taken, bad, words = 0, False, None
@@ -229,6 +241,8 @@
                 if not call.request:
                     # Guards rule 2: at a server, the id of an open request is a second copy of that one.
                     raise BadCall("the id is taken")
+                if (report := self._clients.report) is not None:
+                    report.request_read(call.id, call.cls, self._history, call.patience / 1e3)
                 return True
             if words[0].upper() != b"PING":
                 raise BadCall("unknown command")
@@ -434,6 +448,7 @@
         self._sweeping = False
         self.port = 0
         self.leaving = False  # pings are told that this gateway takes no new work
+        self.report: ShutdownReport | None = None  # once the process is to end
         self.draining = Draining(self, loop)
 
     async def listen(self, host: str, port: int) -> None:
--- a/lynxreel/node.py
+++ b/lynxreel/node.py
@@ -14,8 +14,10 @@
 from lynxreel.backends.resp2 import Resp2
 from lynxreel.counters.bump import Counter
 from lynxreel.engine.engine import Clock, Desk, Engine
+from lynxreel.engine.shutdown_report import ShutdownReport
 from lynxreel.fronts.listeners import Doors, OwnDoors
 from lynxreel.fronts.resp2 import Clients, Terms
+from lynxreel.log import log
 from lynxreel.peers.datagrams import Peers
 from lynxreel.protocol.address import Address
 from lynxreel.relay.budget import Budget
@@ -122,6 +124,7 @@
         if deployment.peers is not None:
             addresses, index = deployment.peers.addresses, settings.index
             self.peers = self.engine.peers = Peers(addresses, index, self.engine.post, loop)
+        self.shutdown: ShutdownReport | None = None  # once the process is to end
         self._told = False  # the engine has heard of servers
         self._held = True  # its share, or nothing
         if deployment.part != 1.0:
@@ -364,6 +367,16 @@
         if self.web is not None:
             self.web.draining.take_back()
 
+    def follow_shutdown(self, state: str) -> ShutdownReport:
+        """The process is to end and has entered this state: from now on it tells what becomes of requests."""
+        if self.shutdown is None:
+            self.shutdown = ShutdownReport(self._loop.time, log)
+            self.engine.shutdown = self.clients.report = self.shutdown
+            if self.web is not None:
+                self.web.report = self.shutdown
+        self.shutdown.state(state, self.connections, self.engine.owed())
+        return self.shutdown
+
     async def drain(self, most: float, announce: float) -> None:
         """End all fronts, each connection as soon as nothing is owed on it; for `most` seconds."""
         fronts = [self.clients.drain(most, announce)]
