--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,190 @@
+"""The platform's program between SIGTERM and SIGKILL, while its servers take requests and answer nothing."""
+
+import asyncio
+import contextlib
+import json
+import signal
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from tests import test_process
+from tests.net import LOCAL, resp, run
+
+SERVERS = 8
+EARLY = 0.1  # seconds before SIGTERM in which connections are opened
+MARGIN = 0.7  # seconds beyond the longest deadline after which the platform kills, by the protocol page
+CAP = 3.0  # seconds; longer deadlines count as this
+
+
+class HangingServers:
+    """Servers that read requests and never answer; they know which ones have come whole."""
+
+    def __init__(self) -> None:
+        self.received: set[bytes] = set()
+        self.ports: list[int] = []
+        self._servers: list[asyncio.Server] = []
+
+    async def start(self) -> None:
+        for _ in range(SERVERS):
+            server = await asyncio.start_server(self._serve, LOCAL, 0)
+            self._servers.append(server)
+            self.ports.append(server.sockets[0].getsockname()[1])
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(ConnectionError):
+            while words := await read_command(reader):
+                self.received.add(words[2])
+        writer.close()
+
+    def close(self) -> None:
+        for server in self._servers:
+            server.close()
+
+
+async def read_command(reader: asyncio.StreamReader) -> list[bytes]:
+    """The strings of the next command; none at the end."""
+    if not (head := await reader.readline()):
+        return []
+    words = []
+    for _ in range(int(head[1:])):
+        length = int((await reader.readline())[1:])
+        words.append((await reader.readexactly(length + 2))[:length])
+    return words
+
+
+@dataclass
+class Connection:
+    """A client's connection: what was written on it whole, and what came back."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    asked: list[bytes] = field(default_factory=list)
+    answers: list[bytes] = field(default_factory=list)
+    ended: str = ""  # how it has ended, once it has
+
+    @classmethod
+    async def open(cls, port: int) -> "Connection":
+        return cls(*await asyncio.open_connection(test_process.GATEWAY, port))
+
+    def ask(self, request: bytes, text: bytes) -> None:
+        if not self.ended:
+            self.asked.append(request)
+            self.writer.write(text)
+
+    async def follow(self) -> None:
+        """Read answers until the connection has ended; then close it, as clients do."""
+        try:
+            while line := await self.reader.readline():
+                if line != b"+PONG\r\n":
+                    self.answers.append(line)
+            self.ended = "closed"
+        except ConnectionError:
+            self.ended = "reset"
+        self.writer.close()
+
+    @property
+    def unanswered(self) -> list[bytes]:
+        """Requests without an answer; answers come in the order of requests."""
+        return self.asked[len(self.answers) :]
+
+
+def order(request: bytes, deadline: float) -> bytes:
+    """An unsafe request."""
+    terms = b"c=order,t=basic,d=%d" % (deadline * 1e3)
+    return resp(b"CALL.POST", b"0" * 14 + b"ab", request, terms, b"body")
+
+
+def configuration(deadline: float, ports: list[int], discovery: int, listen: int) -> str:
+    """One gateway before these servers, with one unsafe class."""
+    told = test_process.config(discovery, 9, listen)
+    entry = {
+        **test_process.NAMED["classes"][0], "name": "order", "effect": "once",
+        "giveUpUs": int(deadline * 1e6), "goalTimeUs": int(deadline * 1e6),
+    }  # fmt: skip
+    told["settings"] = {
+        **test_process.NAMED, "classes": [entry], "fleetSize": 1, "unknown": [1], "extra": {"counter": False},
+        "packages": [{"name": "basic", "quotaRate": 0.0, "mostAtOnce": 0.0, "neverOverRate": 0.0}],
+    }  # fmt: skip
+    told["known"]["instances"] = [
+        {"instanceId": f"s-{port}", "hostPort": f"{LOCAL}:{port}", "lifecycle": "SERVING", "startedAtMs": 0}
+        for port in ports
+    ]
+    return json.dumps(told)
+
+
+class Shutdown:
+    """One gateway that is told to end, and connections of each kind on which clients go on asking."""
+
+    def __init__(self, folder: Path, deadline: float) -> None:
+        self.folder, self.deadline = folder, deadline
+        self.kill_after = min(deadline, CAP) + MARGIN
+        self.servers = HangingServers()
+        self.connections: dict[str, Connection] = {}
+        self._following: list[asyncio.Task[None]] = []
+
+    async def play(self) -> None:
+        """From the start to SIGKILL."""
+        await self.servers.start()
+        discovery = await asyncio.start_server(self._tell_no_change, LOCAL, 0)
+        listen = test_process.free_port()
+        port = discovery.sockets[0].getsockname()[1]
+        text = configuration(self.deadline, self.servers.ports, port, listen)
+        with test_process.start(self.folder, text) as process:
+            test_process.connect(listen, process).close()
+            await self._open(listen)
+            process.send_signal(signal.SIGTERM)
+            stopped = time.monotonic()
+            await self._ask_until(stopped + self.kill_after)
+            process.kill()
+            self.log = process.communicate()[1].decode()
+        await asyncio.gather(*self._following)
+        discovery.close()
+        self.servers.close()
+
+    @staticmethod
+    async def _tell_no_change(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+        await reader.read()  # until the gateway ends
+        writer.close()
+
+    async def _open(self, port: int) -> None:
+        names = ["busy", *(f"{kind}-{number}" for kind in ("new", "resting", "half") for number in range(10))]
+        for name in names:
+            connection = self.connections[name] = await Connection.open(port)
+            self._following.append(asyncio.create_task(connection.follow()))
+            if name.startswith("resting"):
+                connection.writer.write(resp(b"PING"))
+            if name.startswith("half"):
+                connection.writer.write(self._order(name)[:20])
+        self.connections["busy"].ask(b"busy-first", order(b"busy-first", self.deadline))
+        await asyncio.sleep(EARLY)
+
+    def _order(self, name: str) -> bytes:
+        return order(name.encode(), self.deadline)
+
+    async def _ask_until(self, end: float) -> None:
+        """One after another, ten times: on the busy connection, and on one of each other kind."""
+        step = (end - time.monotonic()) / 10
+        for number in range(10):
+            request = f"busy-{number}"
+            self.connections["busy"].ask(request.encode(), self._order(request))
+            for kind in ("new", "resting", "half"):
+                name = f"{kind}-{number}"
+                written = 20 if kind == "half" else 0
+                self.connections[name].ask(name.encode(), self._order(name)[written:])
+            await asyncio.sleep(step)
+        await asyncio.sleep(end - time.monotonic())
+
+    @property
+    def lost(self) -> list[bytes]:
+        """Requests that a server got, and whose client got no answer."""
+        unanswered = [request for c in self.connections.values() for request in c.unanswered]
+        return [request for request in unanswered if request in self.servers.received]
+
+
+def test_what_is_forwarded_in_a_shutdown_has_its_answer_before_the_kill(tmp_path: Path) -> None:
+    shutdown = Shutdown(tmp_path, deadline=21.566)
+    run(shutdown.play)
+    assert not shutdown.lost, shutdown.log
