A shutdown promises only what it can keep, and nothing read late in it is forwarded

Change: ShutdownTimes tells accept, serve, answer, cut_off; the module refuses what comes after 'serve' (Stopping, Cause.STOPPING) and brings all deadlines forward to 'answer', 0.35 s before the kill; the engine shortens attempts that are out and what servers are told. Related: commands behind a ping in one read were forwarded after the close; commands behind a full or paced queue were dropped; unread bytes of a resting connection are read before its close; a client that floods pings and reads nothing was never cut off.

--- a/lynxreel/__main__.py
+++ b/lynxreel/__main__.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from lynxreel.daemon.instance import Instance
-from lynxreel.daemon.lifecycle import Ask, Do, Life
+from lynxreel.daemon.lifecycle import Ask, Do, Life, ShutdownTimes
 from lynxreel.fronts.listeners import OwnDoors, inherited
 from lynxreel.fronts.resp2 import HALF_READ
 from lynxreel.log import log
@@ -23,7 +23,12 @@
 from mothgap.interface import ListKind
 from mothgap.settings import read_names, read_settings
 
-ACCEPT = 0.5  # seconds that new connections are taken after SIGTERM
+ACCEPT = 0.5  # seconds after SIGTERM in which what comes is taken on, for a while on new connections, too
+KILL_MARGIN = 0.7  # seconds beyond the longest deadline after which the platform kills, by its protocol page
+LONGEST_WAIT = 3.0  # seconds; the platform takes longer deadlines for this
+# Seconds before the kill by which everything is answered. The process may be held up for 0.15 s before it
+# sees SIGTERM, and again before it writes; and clients need a moment to close what has been ended.
+ANSWER_MARGIN = 0.35
 HELD_PART = 0.125  # of the memory limit, for values that are passed on: two processes may share it
 SIGNALS = {signal.SIGHUP: Ask.RELOAD, signal.SIGTERM: Ask.STOP, signal.SIGINT: Ask.STOP}
 
@@ -62,6 +67,17 @@
         raise ValueError(f"operator: {wrong}") from None
 
 
+def shutdown_times(longest: float, shared: bool) -> ShutdownTimes:
+    """What the platform leaves a process between SIGTERM and SIGKILL, by the longest deadline in seconds.
+
+    `shared`: another process accepts clients at the same listener, so that none are taken from SIGTERM on.
+    """
+    accept = 0.0 if shared else ACCEPT
+    killed = min(longest, LONGEST_WAIT) + KILL_MARGIN
+    answer = max(0.0, killed - ANSWER_MARGIN - accept)
+    return ShutdownTimes(accept, ACCEPT - accept, answer, longest + HALF_READ)
+
+
 class Program(Instance):
     """The platform's program: its configuration says where to listen, and SIGHUP where to look."""
 
@@ -70,7 +86,7 @@
         self._shared = given is not None  # others may accept there, before this process and after it
         deployment = read_deployment(config, self._shared)
         longest = max(cls.deadline for cls in deployment.settings.classes) / 1e6
-        super().__init__(Life(0.0 if self._shared else ACCEPT, longest + HALF_READ), loop)
+        super().__init__(Life(shutdown_times(longest, self._shared)), loop)
         self._operator = read_operator(config)
         known = read_list(config["known"], deployment.names, ListKind.CACHED)
         doors = OwnDoors(loop, {deployment.listen[0]: given} if given is not None else {})
--- a/lynxreel/backends/pools.py
+++ b/lynxreel/backends/pools.py
@@ -353,7 +353,7 @@
         elif not self._room():
             self.end(attempt, Result.NOT_SENT)  # this gateway's own limit: it says nothing of the server
         else:
-            task = self.loop.create_task(self._connect(attempt, pool, self._engine.clock.now() + timeout))
+            task = self.loop.create_task(self._connect(attempt, pool))
             self._connects[attempt] = task
 
     def _room(self) -> bool:
@@ -365,7 +365,7 @@
             min(idle, key=lambda c: c.idle_since).drop()
         return bool(idle)
 
-    async def _connect(self, attempt: Attempt, pool: Pool, deadline: int) -> None:
+    async def _connect(self, attempt: Attempt, pool: Pool) -> None:
         try:
             connection = await self._come_up(pool)
         finally:
@@ -377,7 +377,8 @@
             pool.give(connection)
             self.end(attempt, Result.NOT_SENT)
         else:
-            self._write(attempt, connection, deadline - self._engine.clock.now())
+            left = self._out[attempt][0].when() - self.loop.time()
+            self._write(attempt, connection, int(left * 1e6))
 
     async def _come_up(self, pool: Pool) -> Connection | Result:
         """A new connection; where there is none, what that makes of an attempt."""
@@ -439,6 +440,13 @@
             task.cancel()
             self.end(attempt, Result.NOT_SENT)
 
+    def shorten(self, attempt: Attempt, timeout: int) -> None:
+        """Wait for so many microseconds more at the most. What its server has been told stays as it is."""
+        timer, connection = self._out[attempt]
+        if timer.when() - self.loop.time() > timeout / 1e6:
+            timer.cancel()
+            self._out[attempt] = (self.loop.call_later(timeout / 1e6, self._timed_out, attempt), connection)
+
     def _timed_out(self, attempt: Attempt) -> None:
         self._leave(attempt, Result.TIMEOUT)
 
--- a/lynxreel/daemon/instance.py
+++ b/lynxreel/daemon/instance.py
@@ -6,6 +6,7 @@
 from collections.abc import Coroutine
 
 from lynxreel.daemon.lifecycle import Ask, Do, Empty, Event, Life, Reloaded, Started, State, Tick
+from lynxreel.fronts.draining import DrainTimes
 from lynxreel.log import log
 from lynxreel.node import Node
 from lynxreel.operations.calls import answer
@@ -94,6 +95,8 @@
                     self.node.take_back()
                 case Do.SAY_LEAVING:
                     self.node.follow_shutdown(self.life.state.value)
+                    now = self.loop.time()
+                    self.node.stop(self.life.refuse_at - now, self.life.answer_at - now)
                 case Do.CLOSE:
                     if self.node.shutdown is not None:
                         self.node.shutdown.draining = True
@@ -104,7 +107,8 @@
             self.do(do)
 
     async def _drain(self) -> None:
-        await self.node.drain(self.life.deadline, self.announce)
+        patience = max(0.0, self.life.answer_at - self.loop.time())
+        await self.node.drain(DrainTimes(self.announce, patience, self.life.times.cut_off))
         if not self.node.connections:
             self._events.put_nowait(Empty())
 
--- a/lynxreel/daemon/lifecycle.py
+++ b/lynxreel/daemon/lifecycle.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 from typing import TypeAlias
@@ -65,18 +66,33 @@
     RELOAD = "reload"  # read the file and take it, whole or not at all; `Reloaded` follows
     SET_ASIDE = "set aside"  # pings hear a no, and each connection ends as soon as nothing is owed on it
     TAKE_BACK = "take back"  # the end of that
-    SAY_LEAVING = "say leaving"  # pings are answered that no new work is taken
+    SAY_LEAVING = "say leaving"  # pings are answered that no new work is taken; the end's times are known
     CLOSE = "close"  # the listeners, and each connection as soon as nothing is owed on it
     CUT_OFF = "cut off"  # tell what is left: the process ends with it
     EXIT = "exit"
 
 
+@dataclass(frozen=True)
+class ShutdownTimes:
+    """How long each step of a shutdown takes, in seconds.
+
+    `accept` counts from the stop, the others from the close of the listeners. Whoever ends the process from
+    outside must not do so before `answer`: then each request that was taken has had its final answer.
+    """
+
+    accept: float  # new connections are taken; a leave has none of this
+    serve: float  # requests on open connections are taken on; later ones are refused
+    answer: float  # by then everything that was taken on is answered, as failed or refused if need be
+    cut_off: float  # connections that are left then are cut off
+
+
 class Life:
     """One instance's life. All times are seconds on one monotonic clock."""
 
-    def __init__(self, accept: float, deadline: float) -> None:
+    def __init__(self, times: ShutdownTimes) -> None:
         self.state = State.STARTING
-        self.accept, self.deadline = accept, deadline
+        self.times = times
+        self.refuse_at = self.answer_at = math.inf  # once there is an end: from when, and by when
         self.reloading = False
         self._drained = False  # asked for, also where it does not listen yet
         self._reload_again = False
@@ -129,8 +145,9 @@
             return []
         if ask is Ask.RELOAD:
             return [] if self.ending else self._reload()
-        if ask is Ask.STOP and not self.ending and self.accept > 0:
-            self.state, self._until = State.LEAVING, now + self.accept
+        if ask is Ask.STOP and not self.ending and self.times.accept > 0:
+            self.state, self._until = State.LEAVING, now + self.times.accept
+            self._end(self._until)
             return [Do.SAY_LEAVING, Do.TELL]
         if not self.ending or (ask is Ask.LEAVE and self.state is State.LEAVING):
             return self._drain(now)
@@ -156,9 +173,15 @@
         return [Do.TELL, Do.RELOAD]
 
     def _drain(self, now: float) -> list[Do]:
-        self.state, self._until = State.DRAINING, now + self.deadline
+        self.state, self._until = State.DRAINING, now + self.times.cut_off
+        self._end(now)
         return [Do.SAY_LEAVING, Do.CLOSE, Do.TELL]
 
+    def _end(self, closing: float) -> None:
+        """The listeners close at that time. What has been said of the end before can only become earlier."""
+        self.refuse_at = min(self.refuse_at, closing + self.times.serve)
+        self.answer_at = min(self.answer_at, closing + self.times.answer)
+
     def _tick(self, now: float) -> list[Do]:
         if now < self._until:
             return []
--- a/lynxreel/daemon/serve.py
+++ b/lynxreel/daemon/serve.py
@@ -23,10 +23,11 @@
 from lynxreel.config.read import ConfigError, read
 from lynxreel.daemon.codes import ADDRESS, ADDRESS_TAKEN, BAD_CONFIG, INNER_FAULT, OK, PLACE_TAKEN
 from lynxreel.daemon.instance import Instance
-from lynxreel.daemon.lifecycle import Ask, Do, Life, State
+from lynxreel.daemon.lifecycle import Ask, Do, Life, ShutdownTimes, State
 from lynxreel.daemon.notify import Notifier
 from lynxreel.daemon.place import Place, Taken
 from lynxreel.fronts.listeners import Doors, OwnDoors, activated
+from lynxreel.fronts.resp2 import HALF_READ
 from lynxreel.jsonlines import Commands, listen
 from lynxreel.log import log
 from lynxreel.node import Deployment, Node
@@ -42,6 +43,7 @@
     signal.SIGTERM: Ask.STOP, signal.SIGINT: Ask.STOP,
 }  # fmt: skip
 LOOK = 0.02  # seconds between looks whether the loop has stood still
+LAST_ANSWERS = 0.35  # seconds before the cut-off by which everything is answered, and so can be read
 QUIET_SPANS = 10  # spans of records with nothing to tell after which a line is written all the same
 
 
@@ -53,8 +55,7 @@
         given: Mapping[Address, socket.socket] | None = None, post: Post | None = None,
     ) -> None:  # fmt: skip
         """`given`: listeners of a service manager; `post`: what a supervisor's worker is started with."""
-        life = Life(file.drain.accept_ms / 1e3, file.drain.deadline_ms / 1e3)
-        super().__init__(life, asyncio.get_running_loop())
+        super().__init__(Life(shutdown_times(file)), asyncio.get_running_loop())
         self._path, self._file, self._place, self._post = path, file, place, post
         self.announce = file.drain.announce_ms / 1e3
         self._notifier = Notifier()
@@ -250,7 +251,7 @@
         deployment = await self.loop.run_in_executor(None, deploy, file, self.node.deployment)
         await self.node.adopt(deployment)
         self._file = file
-        self.life.accept, self.life.deadline = file.drain.accept_ms / 1e3, file.drain.deadline_ms / 1e3
+        self.life.times = shutdown_times(file)
         self.announce = file.drain.announce_ms / 1e3
         return lines
 
@@ -374,6 +375,13 @@
             await asyncio.sleep(every)
 
 
+def shutdown_times(file: OperatorFile) -> ShutdownTimes:
+    """What the operator file says of a shutdown, and how much of that is kept for the last answers."""
+    drain = file.drain
+    accept, announce, cut_off = drain.accept_ms / 1e3, drain.announce_ms / 1e3, drain.deadline_ms / 1e3
+    return ShutdownTimes(accept, max(announce, HALF_READ), max(cut_off / 2, cut_off - LAST_ANSWERS), cut_off)
+
+
 def fit_sockets(file: OperatorFile) -> None:
     """Raise this process's limit on descriptors to what the file names, or raise ConfigError."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/lynxreel/engine/engine.py
+++ b/lynxreel/engine/engine.py
@@ -110,6 +110,9 @@
     def withdraw(self, attempt: Attempt) -> None:
         """Give an attempt up if no byte of it has gone out; it ends as not sent."""
 
+    def shorten(self, attempt: Attempt, timeout: int) -> None:
+        """Wait for so many microseconds more at the most."""
+
 
 class Tally(Protocol):
     """Who counts what became of requests, for the operators."""
@@ -200,6 +203,7 @@
         self._news: deque[api.Event] = deque()
         self._events: deque[api.Event] = deque()
         self._scheduled = False
+        self._until: int | None = None  # by then everything is answered: the process ends
 
     # --- what the sockets tell --------------------------------------------------------------------------
 
@@ -213,8 +217,9 @@
         request = next(self._ids)
         # Nobody waits for longer than the class's deadline, whatever a client says.
         left = max(0, min(call.patience * 1_000, self._settings.classes[call.cls].deadline) - WAY)
-        deadline = self._loop.call_later((left + LATE) / 1e6, self._outlived, request)
-        self._open[request] = Open(call, self.clock.now() + left, deadline)
+        now = self.clock.now()
+        until = now + left if self._until is None else min(now + left, self._until)
+        self._open[request] = Open(call, until, self._outlived_at(request, until))
         extras = (call.units, left, call.spread, call.first, call.retry, call.counted, call.sent)
         self.post(api.Request(request, call.cls, call.plan, call.customer, *extras))
         return request
@@ -227,6 +232,25 @@
             self._withdraw(request)
             self.post(api.Expired(request))
 
+    def stop(self, refuse_after: float, answer_by: float) -> None:
+        """The process ends: refuse what comes after so many seconds, and have all answered after so many.
+
+        Deadlines that lie beyond that are brought forward, and with them what servers are waited for.
+        A second call can only make the times earlier.
+        """
+        now = self.clock.now()
+        until = now + int(answer_by * 1e6)
+        self._until = until if self._until is None else min(until, self._until)
+        self._news.append(api.Stopping(now + int(refuse_after * 1e6), self._until))
+        self._schedule()
+        for request, held in self._open.items():
+            if not held.over and held.until > self._until:
+                held.until = self._until
+                held.deadline.cancel()
+                held.deadline = self._outlived_at(request, held.until)
+        for attempt in list(self._out.values()):
+            self.backend.shorten(attempt, max(0, self._until - now))
+
     def adopt(self, settings: api.Settings) -> None:
         """Go by other settings. Classes and plans keep their places, as `NewSettings` says."""
         self._settings = settings
@@ -413,7 +437,16 @@
         if held.over and not held.out:
             self._taken.discard(held.call.id)
 
+    def _outlived_at(self, request: int, until: int) -> asyncio.TimerHandle:
+        """Answer a request without the module where that has not done so by then, and a moment more."""
+        left = max(0, until - self.clock.now()) + LATE
+        return self._loop.call_later(left / 1e6, self._outlived, request)
+
     def _outlived(self, request: int) -> None:
         """Guards the one answer in time, whatever the module does."""
+        if self._scheduled:
+            self._work()  # a loop that was held up has just ended its attempts: the module answers better
+        if request not in self._open or self._open[request].over:
+            return
         log("the module let a request's time run out")
         self._fail(request)
--- a/lynxreel/fronts/draining.py
+++ b/lynxreel/fronts/draining.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 from collections.abc import Collection
+from dataclasses import dataclass
 from typing import Protocol
 
 LOOK = 0.01  # seconds between looks for connections that nothing is owed on, while a front ends
@@ -15,8 +16,17 @@
 class Ending(Protocol):
     """A connection."""
 
-    def end(self) -> None:
-        """Close once nothing is owed, and nothing half read that may still be completed."""
+    def end(self, patient: bool = True) -> None:
+        """Close once nothing is owed. While `patient`, what is half read may still be completed first."""
+
+
+@dataclass(frozen=True)
+class DrainTimes:
+    """How a front ends, in seconds from the close of its listeners."""
+
+    announce: float  # idle connections are left open: whoever asks on one learns by the answer
+    patience: float  # what is half read may still be completed
+    cut_off: float  # the drain ends, whatever is left
 
 
 class Front(Protocol):
@@ -38,7 +48,8 @@
     def set_aside(self) -> None:
         """Connections end, new ones as well, until `take_back`."""
         if self._aside is None:
-            self._aside = self._loop.create_task(self._empty(ASIDE_ANNOUNCE, math.inf, ASIDE_LOOK))
+            times = DrainTimes(ASIDE_ANNOUNCE, math.inf, math.inf)
+            self._aside = self._loop.create_task(self._empty(times, ASIDE_LOOK))
 
     def take_back(self) -> None:
         """They stay open from now on."""
@@ -46,21 +57,22 @@
             self._aside.cancel()
             self._aside, self.closing = None, False
 
-    async def empty(self, announce: float, most: float) -> None:
-        """Until no connection is left, or for `most` seconds; the front takes no new ones any more.
+    async def empty(self, times: DrainTimes) -> None:
+        """Until no connection is left, or until these times are over; the front takes no new ones any more.
 
-        For the first `announce` seconds a connection ends only behind an answer, so that whoever asks on one
+        While the drain is announced a connection ends only behind an answer, so that whoever asks on one
         is told, by the answer to a ping or to the request that would have crossed its end.
         """
         self.take_back()
-        await self._empty(announce, self._loop.time() + most, LOOK)
+        await self._empty(times, LOOK)
 
-    async def _empty(self, announce: float, last: float, look: float) -> None:
+    async def _empty(self, times: DrainTimes, look: float) -> None:
         self.closing = True
-        await asyncio.sleep(announce)
-        while self._loop.time() < last and (self._front.connections or last == math.inf):
+        begun, last = self._loop.time(), self._loop.time() + times.cut_off
+        await asyncio.sleep(min(times.announce, times.patience))
+        while (now := self._loop.time()) < last and (self._front.connections or last == math.inf):
             for connection in list(self._front.connections):
-                connection.end()
+                connection.end(patient=now - begun < times.patience)
             await asyncio.sleep(look)
 
     def close(self) -> None:
--- a/lynxreel/fronts/http.py
+++ b/lynxreel/fronts/http.py
@@ -23,9 +23,9 @@
 
 from lynxreel.engine.engine import Desk
 from lynxreel.engine.shutdown_report import ConnectionHistory, ShutdownReport
-from lynxreel.fronts.draining import Draining
+from lynxreel.fronts.draining import Draining, DrainTimes
 from lynxreel.fronts.forwarded import Network, told
-from lynxreel.fronts.lingering import LingeringClose
+from lynxreel.fronts.lingering import LingeringClose, has_unread
 from lynxreel.fronts.listeners import Door, Doors, OwnDoors
 from lynxreel.openapi.admission import Admission, Head, Rejected, Whole
 from lynxreel.openapi.repeats import Found, Repeats
@@ -504,10 +504,15 @@
 
     # --- ends -------------------------------------------------------------------------------------------
 
-    def end(self) -> None:
-        """Close once nothing is owed and nothing half read."""
-        if self._call is None and self._http is None and not self._buffer:
-            self._close()
+    def end(self, patient: bool = True) -> None:
+        """Close once nothing is owed. While `patient`, what has come is read first, its rest waited for."""
+        if self._call is not None or self._lingering or self.transport.is_closing():
+            return
+        if self._http is None and not self._buffer:
+            if not (patient and has_unread(self.transport)):
+                self._close()
+        elif not patient:
+            self._fatal(503, "Shutting down", "the rest of the request did not come in time")
 
     def look(self, now: float) -> None:
         """End it where its client has used up its time."""
@@ -627,10 +632,10 @@
             connection.look(now)
         self._sweeping = self.loop.call_later(SWEEP, self._sweep)
 
-    async def drain(self, most: float, announce: float = 0.0) -> None:
-        """Close the listeners, and each connection as soon as nothing is owed on it; for `most` seconds."""
+    async def drain(self, times: DrainTimes) -> None:
+        """Close the listeners, and each connection as soon as nothing is owed on it."""
         await self.unlisten()
-        await self.draining.empty(announce, most)
+        await self.draining.empty(replace(times, announce=0.0))
 
     async def unlisten(self) -> None:
         """Take no connections any more, but those that are ours already."""
--- a/lynxreel/fronts/resp2.py
+++ b/lynxreel/fronts/resp2.py
@@ -13,7 +13,7 @@
 
 from lynxreel.engine.engine import Desk
 from lynxreel.engine.shutdown_report import ConnectionHistory, ShutdownReport
-from lynxreel.fronts.draining import Draining
+from lynxreel.fronts.draining import Draining, DrainTimes
 from lynxreel.fronts.lingering import LingeringClose, has_unread, peer_has_closed
 from lynxreel.fronts.listeners import Door, Doors, OwnDoors
 from lynxreel.protocol import commands, resp
@@ -176,6 +176,8 @@
         self._holds = 0
         self._fresh = True  # nothing has come on it
         self._history = ConnectionHistory.NEW  # before the bytes that are being read
+        self._reading = False  # commands are being taken: it does not end between two of them
+        self._asked_to_end_at = math.inf  # since when it is to close once nothing is owed
         self._ending = False  # nothing more is read; closed once all is answered
         self._stream: Stream | None = None  # what the first in the queue is being answered with
         self._whole = False  # all of that has been written, perhaps not sent
@@ -206,19 +208,14 @@
 
     def _read(self) -> None:
         """Take what is whole, as long as there is room for more answers."""
-        taken, bad, words = 0, False, None
         try:
-            while taken < TURN and len(self.queue) < MOST_OPEN:
-                if (words := self._reader.next()) is None:
-                    break
-                bad |= not self._take(cast(list[bytes], words))
-                taken += 1
+            taken, bad, more = self._take_whole()
         except resp.Malformed as wrong:
             self.reject(f"Protocol error: {wrong}")
             return
-        if words is None and not self._reader.empty():
+        if not more and not self._reader.empty():
             self._clients.wait_for(self, again=taken > 0)
-        elif taken:
+        elif taken and not self._holds & self.UNREAD:
             self._clients.waiting.pop(self, None)
             if not self.queue:
                 self._clients.rest(self)
@@ -228,6 +225,22 @@
             # Guards the other clients: one that only sends what is turned away gets no more than its turn.
             self._hold(self.PACED)
             self._clients.loop.call_later(PAUSE if bad else 0, self._release, self.PACED)
+        if taken and not self.queue and self._clients.draining.closing:
+            self.end()
+
+    def _take_whole(self) -> tuple[int, bool, bool]:
+        """Take commands: how many, whether one of them was none, and whether there may be more."""
+        taken, bad, words = 0, False, None
+        self._reading = True
+        try:
+            while taken < TURN and len(self.queue) < MOST_OPEN:
+                if (words := self._reader.next()) is None:
+                    break
+                bad |= not self._take(cast(list[bytes], words))
+                taken += 1
+        finally:
+            self._reading = False
+        return taken, bad, words is not None
 
     def _take(self, words: list[bytes]) -> bool:
         """One command; false where it is none that is known."""
@@ -277,12 +290,12 @@
         if self.queue and isinstance(stream := self.queue[0].reply, Stream):
             self._begin(stream)
             return
+        if self._holds & self.FULL and not self._ending and len(self.queue) <= MOST_OPEN // 2:
+            self._release(self.FULL)
         if not self.queue:
             self._clients.rest(self)
             if self._ending or self._clients.draining.closing:
                 self.end()
-        if self._holds & self.FULL and not self._ending and len(self.queue) <= MOST_OPEN // 2:
-            self._release(self.FULL)
 
     def _begin(self, stream: Stream) -> None:
         """The turn of a large value. With the limit at 0, `resume_writing` tells when what came is sent."""
@@ -363,19 +376,37 @@
         else:
             self._clients.wait_for(self)  # cut off where the answers are never read
 
-    def end(self) -> None:
-        """Close once nothing is owed, and nothing half read that may still be completed.
+    def end(self, patient: bool = True) -> None:
+        """Close once nothing is owed. While `patient`, what has come is read first, its rest waited for.
 
         A request may be under way on one that nothing has come on; after an answer that is far less likely.
         """
-        if self.queue:
+        if self.queue or self._reading:
+            return
+        if patient and not self._ending and self._may_owe():
             return
-        if not self._ending and (self._fresh or not self._reader.empty()):
-            since = self._clients.waiting.get(self, -math.inf)
-            if self._clients.loop.time() - since < HALF_READ:
-                return
         self._close()
 
+    def _may_owe(self) -> bool:
+        """A request may have come, whole or in part, that has not been taken."""
+        now = self._clients.loop.time()
+        self._asked_to_end_at = min(self._asked_to_end_at, now)
+        if now - self._asked_to_end_at < HALF_READ and self._unread():
+            return True
+        if not self._fresh and self._reader.empty():
+            return False
+        return now - self._clients.waiting.get(self, -math.inf) < HALF_READ
+
+    def _unread(self) -> bool:
+        """Something has come that could be read, but for a client that does not read its answers."""
+        if self._holds & self.UNREAD:
+            return False
+        return bool(self._holds & (self.FULL | self.PACED)) or has_unread(self.transport)
+
+    def welcome(self) -> None:
+        """It may stay open after all."""
+        self._asked_to_end_at = math.inf
+
     def _close(self) -> None:
         self._ending = True
         if self.transport.is_closing() or self in self._clients.lingering:
@@ -578,11 +609,13 @@
         """Clients are welcome again."""
         self.leaving = False
         self.draining.take_back()
+        for connection in self.connections:
+            connection.welcome()
 
-    async def drain(self, most: float, announce: float = 0.0) -> None:
-        """Close the listeners, and each connection as soon as nothing is owed on it; for `most` seconds."""
+    async def drain(self, times: DrainTimes) -> None:
+        """Close the listeners, and each connection as soon as nothing is owed on it."""
         await self.unlisten()
-        await self.draining.empty(announce, most)
+        await self.draining.empty(times)
 
     def cut_off(self) -> None:
         """End what is left. Guards the end of the process against a peer that never reads."""
--- a/lynxreel/node.py
+++ b/lynxreel/node.py
@@ -15,6 +15,7 @@
 from lynxreel.counters.bump import Counter
 from lynxreel.engine.engine import Clock, Desk, Engine
 from lynxreel.engine.shutdown_report import ShutdownReport
+from lynxreel.fronts.draining import DrainTimes
 from lynxreel.fronts.listeners import Doors, OwnDoors
 from lynxreel.fronts.resp2 import Clients, Terms
 from lynxreel.log import log
@@ -377,11 +378,15 @@
         self.shutdown.state(state, self.connections, self.engine.owed())
         return self.shutdown
 
-    async def drain(self, most: float, announce: float) -> None:
-        """End all fronts, each connection as soon as nothing is owed on it; for `most` seconds."""
-        fronts = [self.clients.drain(most, announce)]
+    def stop(self, refuse_after: float, answer_by: float) -> None:
+        """Refuse what comes after so many seconds, and answer everything within so many."""
+        self.engine.stop(max(0.0, refuse_after), max(0.0, answer_by))
+
+    async def drain(self, times: DrainTimes) -> None:
+        """End all fronts, each connection as soon as nothing is owed on it."""
+        fronts = [self.clients.drain(times)]
         if self.web is not None:
-            fronts.append(self.web.drain(most))
+            fronts.append(self.web.drain(times))
         await asyncio.gather(*fronts)
         if self.cover is not None:
             await self.cover.leave()
--- a/lynxreel/takeover/cover.py
+++ b/lynxreel/takeover/cover.py
@@ -269,6 +269,14 @@
         else:
             self._servers.withdraw(attempt)
 
+    def shorten(self, attempt: Attempt, timeout: int) -> None:
+        """Wait for so many microseconds more at the most."""
+        key = (attempt.call.id, attempt.number)
+        if (held := self._held.get(key)) is not None:
+            self._held[key] = (attempt, min(held[1], self._now() + timeout))
+        else:
+            self._servers.shorten(attempt, timeout)
+
     # --- the links --------------------------------------------------------------------------------------
 
     def _heard(self, name: str, incarnation: int, message: Any) -> None:
--- a/mothgap/interface.py
+++ b/mothgap/interface.py
@@ -65,6 +65,7 @@
     CEILING = "ceiling"  # this gateway's part of the plan's ceiling, or of what may be open at once, is used
     ROOM = "room"  # the servers hold all that they may, or none may be sent to
     ATTEMPTS = "attempts"  # attempts were made, and no further one is allowed or in time
+    STOPPING = "stopping"  # it came so late in a shutdown that nothing is promised any more
 
 
 class ListKind(IntEnum):
@@ -324,6 +325,18 @@
     offset: int
 
 
+@dataclass(frozen=True, slots=True)
+class Stopping:
+    """This gateway is shutting down; there is no way back. A second one can only make the times earlier.
+
+    A request that comes from `refuse_from` on is refused. Every other one, also those that are open already,
+    has its final answer by `until`: a gateway promises nothing that it will not be there to keep.
+    """
+
+    refuse_from: int
+    until: int
+
+
 @dataclass(frozen=True, slots=True)
 class NewSettings:
     """The deployment's settings from now on.
@@ -337,7 +350,7 @@
 
 Event: TypeAlias = (
     Request | Outcome | Started | Counted | CountedLate | Expired | Unsure | Members | Probed | PeerMessage
-    | Timer | NewSettings | ClockShift | Share | ZoneParts
+    | Timer | NewSettings | ClockShift | Share | ZoneParts | Stopping
 )
 
 
--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -23,7 +23,7 @@
 from mothgap.interface import (
     Action, Cancel, Cause, ClockShift, Count, Counted, CountedLate, Effect, Event, Expired, Fail, Group,
     ListKind, Member, Members, NewSettings, Outcome, PeerMessage, Plan, Refuse, Request, RequestClass, Result,
-    Send, SetTimer, Settings, Share, State, Tell, Timer, Unsure, Watch, ZoneParts,
+    Send, SetTimer, Settings, Share, State, Stopping, Tell, Timer, Unsure, Watch, ZoneParts,
 )  # fmt: skip
 from mothgap.lending import LIFE, Ask, Give, Questions, held_back, in_set, read, write
 from mothgap.names import NAME_LIFE, SECOND, count_name, window
@@ -216,6 +216,10 @@
         self.unsent = 0  # attempts that count for nothing, as no byte of them went out
         self.unsure = False  # another gateway may have gone on with it, with its units
 
+    def end_by(self, until: int) -> None:
+        """Its answer is due by then, whatever its client would wait for."""
+        self.deadline, self.aim_at = min(self.deadline, until), min(self.aim_at, until)
+
 
 class Gateway:
     """One gateway's decisions: a pure function of its settings, its seed and the events it is given."""
@@ -259,6 +263,7 @@
         self._sums, self._sums_at = (0.0, 0.0), now - SUMS_KEPT  # held and limits of all servers, and when
         self._aside: dict[str, None] = {}  # what `_shunned` said last
         self._aside_at = now - SUMS_KEPT
+        self._stopping: Stopping | None = None
         self._questions = Questions(settings.index, self._random)
         self._tokens: dict[int, tuple[int, int | None]] = {}  # timers: request, and attempt; None: its total
         self._token = 0
@@ -299,6 +304,8 @@
                 self._list()
             case NewSettings():
                 self._on_settings(event.settings)
+            case Stopping():
+                self._on_stopping(event)
         return self._out
 
     def _on_settings(self, settings: Settings) -> None:
@@ -314,6 +321,17 @@
         self._dearest = max(cls.worth for cls in settings.classes)
         self._longest = max(cls.aim for cls in settings.classes)
 
+    # --- shutdown ---------------------------------------------------------------------------------------
+
+    def _on_stopping(self, event: Stopping) -> None:
+        """Guards the final answers of a gateway that ends: no deadline outlives it, nor a late request."""
+        if (before := self._stopping) is not None:
+            refuse_from, until = min(event.refuse_from, before.refuse_from), min(event.until, before.until)
+            event = Stopping(refuse_from, until)
+        self._stopping = event
+        for job in self._jobs.values():
+            job.end_by(event.until)
+
     # --- meter ------------------------------------------------------------------------------------------
 
     def _on_request(self, request: Request) -> None:
@@ -323,6 +341,11 @@
         job.aim_at -= self._spent(request, cls)
         job.added = request.units if request.counted else 0.0  # given back where it is not sent on
         customer.here_at = self._now
+        if self._stopping is not None:
+            job.end_by(self._stopping.until)
+            if self._now >= self._stopping.refuse_from:
+                self._end(job, Cause.STOPPING)
+                return
         self._retries = min(RETRY_SAVED, self._retries + RETRY_SHARE)
         doubt = (customer.over + self._over[request.plan]) / (customer.looks + 1.0)
         # Letting a request through uncounted earns its worth, or costs what going beyond the quota costs.
--- a/tests/net.py
+++ b/tests/net.py
@@ -6,6 +6,7 @@
 
 import uvloop
 
+from lynxreel.fronts.draining import DrainTimes
 from lynxreel.fronts.resp2 import Terms
 from lynxreel.engine.engine import Attempt, Clock
 from lynxreel.protocol.resp import pack
@@ -29,6 +30,11 @@
         await asyncio.sleep(0)
 
 
+def drain_times(most: float) -> DrainTimes:
+    """A drain that is not announced, for so many seconds."""
+    return DrainTimes(announce=0.0, patience=most, cut_off=most)
+
+
 def resp(*words: bytes) -> bytes:
     return pack(list(words))
 
--- a/tests/test_client_closes.py
+++ b/tests/test_client_closes.py
@@ -15,6 +15,7 @@
 
 PING, PONG = resp(b"PING"), b"+PONG\r\n"
 SERVED = b"$3\r\none\r\n"
+UNKNOWN = b"-ERR unknown command\r\n"
 
 
 class Client:
@@ -78,11 +79,24 @@
     assert poll.poll(5_000)
 
 
-def test_a_request_that_crosses_the_close_of_a_resting_connection_is_discarded_and_not_reset() -> None:
+def test_a_request_that_has_come_before_the_close_of_a_resting_connection_is_answered() -> None:
+    # Guards what the client wrote in time: the close is put off until it has been read.
     async def scenario(heard: Heard, clients: Clients, connect: Connect) -> None:
         client, connection = await connect()
         arrive(client, connection, call(1))
         connection.end()
+        (await heard.calls.get()).served(b"one")
+        connection.end()
+        assert await client.rest() == SERVED
+
+    play(scenario)
+
+
+def test_a_request_that_crosses_the_close_of_a_resting_connection_is_discarded_and_not_reset() -> None:
+    async def scenario(heard: Heard, clients: Clients, connect: Connect) -> None:
+        client, connection = await connect()
+        arrive(client, connection, call(1))
+        connection.end(patient=False)
         assert await client.rest() == b""
         client.socket.close()
         await until(lambda: not clients.connections)
@@ -219,3 +233,46 @@
         assert own.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
 
     play(scenario)
+
+
+def test_commands_behind_a_ping_are_answered_though_the_front_is_closing() -> None:
+    # Guards against an end between two commands: the second was sent on, and its answer had nowhere to go.
+    async def scenario(heard: Heard, clients: Clients, connect: Connect) -> None:
+        client, connection = await connect()
+        clients.draining.closing = True
+        arrive(client, connection, PING + call(1))
+        (await heard.calls.get()).served(b"one")
+        assert await client.rest() == PONG + SERVED
+
+    play(scenario)
+
+
+def test_commands_that_wait_behind_a_full_queue_are_answered_though_the_front_is_closing() -> None:
+    # Guards what has been read but not taken: answers that come all at once empty the queue in one turn.
+    async def scenario(heard: Heard, clients: Clients, connect: Connect) -> None:
+        client, connection = await connect()
+        arrive(client, connection, b"".join(call(number) for number in range(MOST_OPEN + 8)))
+        calls = [await heard.calls.get() for _ in range(MOST_OPEN)]
+        clients.draining.closing = True
+        for answered in [*calls[1:], calls[0]]:
+            answered.served(b"one")
+        for _ in range(8):
+            (await heard.calls.get()).served(b"one")
+        assert await client.rest() == SERVED * (MOST_OPEN + 8)
+
+    play(scenario)
+
+
+def test_commands_behind_one_that_is_unknown_are_answered_though_the_front_ends() -> None:
+    # Guards what is read later on purpose, as repeats of such a command must not take the others' CPU.
+    async def scenario(heard: Heard, clients: Clients, connect: Connect) -> None:
+        client, connection = await connect()
+        client.socket.sendall(resp(b"SELECT", b"1"))
+        assert (await client.read(len(UNKNOWN))) == UNKNOWN
+        arrive(client, connection, call(1))  # not read for now
+        connection.end()
+        (await heard.calls.get()).served(b"one")
+        connection.end()
+        assert await client.rest() == SERVED
+
+    play(scenario)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import time
 import typing
 from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
@@ -377,3 +378,49 @@
     request = play(monkeypatch, send_it, scenario)[0]
     assert isinstance(request, api.Request)
     assert request.time_left == SETTINGS.classes[0].deadline - gateway.WAY
+
+
+def test_a_stop_brings_forward_the_end_of_what_is_out_and_what_servers_are_told(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The module does nothing by itself here: deadlines and time-outs are the engine's own."""
+
+    async def scenario(engine: Engine, peer: Peer, ends: Ends) -> None:
+        reader, writer = ends
+        writer.write(call(1))
+        await peer.hear()
+        engine.stop(10.0, 0.05)
+        writer.write(call(2))
+        told = re.search(rb",d=(\d+),", (await peer.hear())[1])
+        assert told is not None
+        assert int(told[1]) <= 50
+        assert await reader.readline() == b"-ERR failed\r\n"  # long before the 890 ms that it began with
+        assert await reader.readline() == b"-ERR failed\r\n"
+
+    events = play(monkeypatch, send_it, scenario)
+    (stopping,) = [event for event in events if isinstance(event, api.Stopping)]
+    assert stopping.until < stopping.refuse_from
+    outcomes = [event for event in events if isinstance(event, api.Outcome)]
+    assert [outcome.result for outcome in outcomes] == [api.Result.TIMEOUT] * 2
+    assert all(outcome.elapsed < 800_000 for outcome in outcomes)
+
+
+def test_an_attempt_that_has_just_timed_out_is_answered_by_the_module(
+    monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+) -> None:
+    """A loop that was held up runs both timers in one turn: the request's own end must not go first."""
+
+    def script(event: api.Event) -> Iterator[api.Action]:
+        yield from send_it(event)
+        if isinstance(event, api.Outcome):
+            yield api.Refuse(event.request)
+
+    async def scenario(engine: Engine, peer: Peer, ends: Ends) -> None:
+        reader, writer = ends
+        writer.write(call(1, b"c=lookup,t=basic,d=60"))
+        await peer.hear()
+        time.sleep(0.1)
+        assert await reader.readline() == b"-BUSY\r\n"
+
+    play(monkeypatch, script, scenario)
+    assert "time run out" not in capfd.readouterr().err
