A stop asked for while the listeners open waits for the start's end

Related path of the incident: a stop in STARTING exits at once as if nothing had been taken, though the listener may be open for some turns of the loop and requests read. Change: Instance puts such an end off until Started, if a listener or connection is there.

--- a/lynxreel/daemon/instance.py
+++ b/lynxreel/daemon/instance.py
@@ -14,6 +14,9 @@
 from lynxreel.protocol.address import Address
 
 
+ENDS = (Ask.STOP, Ask.LEAVE)
+
+
 class Instance:
     """One gateway's life from its start to its end. What differs between programs is in what derives."""
 
@@ -23,6 +26,7 @@
         self.life, self.loop = life, loop
         self.node: Node  # set by whoever derives, before `live`
         self._events: asyncio.Queue[Event] = asyncio.Queue()
+        self._postponed: list[Event] = []  # ends that were asked for while the listeners were being opened
         self._desk: Desk | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -54,13 +58,23 @@
         try:
             while self.life.state is not State.STOPPED:
                 event = await self._next(starting)
+                if event in ENDS and self._opening():
+                    self._postponed.append(event)
+                    continue
                 self._carry_out(self.life.handle(self.loop.time(), event))
+                if event == Started():
+                    for asked in self._postponed:
+                        self._events.put_nowait(asked)
         finally:
             for task in list(self._tasks):
                 task.cancel()
             if self._desk is not None:
                 self._desk.close()
 
+    def _opening(self) -> bool:
+        """It may have taken requests before its start has ended: an end at once would lose them."""
+        return self.life.state is State.STARTING and self.node.serves
+
     async def _next(self, start: asyncio.Task[None]) -> Event:
         """The next event, or a Tick when one is due. Raises what ended the start."""
         due = self.life.due()
--- a/lynxreel/node.py
+++ b/lynxreel/node.py
@@ -351,6 +351,11 @@
             if gone:
                 await self.clients.unlisten(*gone)
 
+    @property
+    def serves(self) -> bool:
+        """A listener is open, or connections that it took are."""
+        return bool(self.clients.addresses or self.connections)
+
     @property
     def connections(self) -> int:
         """Of clients, on all fronts."""
