Tests of shutdowns: HTTP, the old process of an upgrade, totals that come after the end

Change: a body that comes late in a drain by HTTP is refused and reaches no box; the old process of an upgrade with hanging servers; a total that comes after the end.

--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -19,6 +19,7 @@
 import jwt
 import pytest
 
+from lynxreel.fronts.resp2 import HALF_READ
 from lynxreel.local.deployment import HOST, Deployment, Gateway
 from lynxreel.local.run import hint
 from lynxreel.openapi.repeats import Found, Repeats
@@ -610,3 +611,27 @@
     assert kept.begin(11.0, 1, "r", "d", b"x") == (Found.NEW, None)  # the first one's time is over
     assert kept.begin(99.0, 1, "r", "c", b"x") == (Found.RUNNING, None)  # one that runs is kept
     assert len(kept) == 2
+
+
+def test_a_request_whose_rest_comes_late_in_a_drain_is_refused_and_reaches_no_box(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with web(tmp_path) as deployment:
+            gateway = deployment.gateways[0]
+            client, body = await Client.to(gateway), b'{"from": "x"}'
+            client.send("POST", "/v1/ports", body)
+            assert (await client.answer()).status == 200
+            lines = ["Content-Type: application/json", f"Content-Length: {len(body)}"]
+            client.writer.write(raw(*lines).replace(b"GET /v1/numbers/1", b"POST /v1/ports") + body[:5])
+            before = came(deployment)
+            deployment.do("drain", (0,))
+            await told(gateway, state="draining")
+            await asyncio.sleep(HALF_READ + 0.1)  # after this nothing is taken on any more
+            client.writer.write(body[5:])
+            answer = await client.answer()
+            assert (answer.status, answer.headers["connection"]) == (429, "close")
+            assert await client.reader.read() == b""
+            assert await gateway.process.wait() == 0
+            assert (came(deployment), gateway.place.read()["left"]) == (before, 0)
+            assert "read on a half-read connection" in log_of(deployment)
+
+    run(scenario)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import signal
+import socket
 import subprocess
 import time
 from dataclasses import dataclass, field
@@ -121,8 +122,9 @@
 class Shutdown:
     """One gateway that is told to end, and connections of each kind on which clients go on asking."""
 
-    def __init__(self, folder: Path, deadline: float, held_up: bool) -> None:
-        self.folder, self.deadline, self.held_up = folder, deadline, held_up
+    def __init__(self, folder: Path, deadline: float, held_up: bool = False, shared: bool = False) -> None:
+        """`held_up`: the process stands still twice; `shared`: the platform holds the clients' listener."""
+        self.folder, self.deadline, self.held_up, self.shared = folder, deadline, held_up, shared
         self.kill_after = min(deadline, CAP) + MARGIN
         self.servers = HangingServers()
         self.connections: dict[str, Connection] = {}
@@ -132,11 +134,16 @@
         """From the start to SIGKILL."""
         await self.servers.start()
         discovery = await asyncio.start_server(self._tell_no_change, LOCAL, 0)
-        listen = test_process.free_port()
+        held = socket.create_server((test_process.GATEWAY, 0))
+        listen = held.getsockname()[1]
+        if not self.shared:
+            held.close()
         port = discovery.sockets[0].getsockname()[1]
         text = configuration(self.deadline, self.servers.ports, port, listen)
-        with test_process.start(self.folder, text) as process:
-            test_process.connect(listen, process).close()
+        with held, test_process.start(self.folder, text, held if self.shared else None) as process:
+            with test_process.connect(listen, process) as first:
+                first.sendall(resp(b"PING"))
+                assert first.recv(64) == b"+PONG\r\n"
             await self._open(listen)
             stopped = time.monotonic()
             stalls = [asyncio.create_task(self._hold_up(process, at)) for at in self._stalls()]
@@ -212,7 +219,16 @@
     tmp_path: Path, deadline: float, held_up: bool
 ) -> None:
     """Deadlines under and over what the platform waits. `held_up`: the process stands still twice."""
-    shutdown = Shutdown(tmp_path, deadline, held_up)
+    check(Shutdown(tmp_path, deadline, held_up))
+
+
+def test_the_old_process_of_an_upgrade_answers_all_before_its_kill(tmp_path: Path) -> None:
+    """It accepts nothing from SIGTERM on: another process is there to do so."""
+    check(Shutdown(tmp_path, 0.8, shared=True))
+
+
+def check(shutdown: Shutdown) -> None:
+    """Play it, and look what became of each request and connection."""
     run(shutdown.play)
     assert not shutdown.lost, shutdown.log
     assert shutdown.code == 0, shutdown.log  # it had ended by itself
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from mothgap.interface import Cause, Fail, Refuse, Result, Send, Stopping
+from mothgap.interface import Cause, Count, Fail, Refuse, Result, Send, Stopping
 from tests.helpers import MS, ONCE, REPEATABLE, SETTINGS, Driver, kinds
 
 PATIENT = replace(SETTINGS, classes=tuple(
@@ -57,6 +57,16 @@
     assert kinds(driver.outcome(request, Result.CONNECT_FAILED))[-1] == "Refuse"  # harmless: nothing was sent
 
 
+def test_a_request_that_waits_for_its_total_is_not_sent_once_the_end_has_come() -> None:
+    driver = Driver(PATIENT)
+    driver.request(cls=ONCE)
+    stop(driver, 500 * MS, 3_000 * MS)
+    driver.now += 3_000 * MS
+    (answer, *back) = sorted(driver.counted(1.0), key=lambda action: not isinstance(action, Refuse))
+    assert isinstance(answer, Refuse)
+    assert [type(action) for action in back] == [Count]  # its units are given back
+
+
 def test_a_second_stop_only_makes_the_end_earlier() -> None:
     driver = Driver(PATIENT)
     stop(driver, 500 * MS, 3_000 * MS)
