--- a/tests/test_client_closes.py
+++ b/tests/test_client_closes.py
@@ -276,3 +276,25 @@
         assert await client.rest() == SERVED
 
     play(scenario)
+
+
+def test_a_client_that_floods_with_pings_and_reads_no_answer_is_cut_off(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards memory and descriptors: its commands come in turns, and a turn is no sign that it reads.
+    monkeypatch.setattr(resp2, "PATIENCE", 0.5)
+
+    async def scenario(heard: Heard, clients: Clients, connect: Connect) -> None:
+        client, connection = await connect()
+        client.socket.setblocking(False)
+        stuck = 0
+        while stuck < 20:  # until neither side's buffers take any more
+            try:
+                client.socket.send(PING * 4_000)
+                stuck = 0
+            except BlockingIOError:
+                stuck += 1
+            await asyncio.sleep(0.01)
+        await until(lambda: connection not in clients.connections)
+
+    play(scenario)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -424,3 +424,24 @@
 
     play(monkeypatch, script, scenario)
     assert "time run out" not in capfd.readouterr().err
+
+
+def test_a_stop_brings_forward_the_answer_of_a_request_that_is_at_no_server(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It may wait for its total, or for a peer: the engine's own deadline moves, too."""
+
+    def script(event: api.Event) -> Iterator[api.Action]:
+        return iter(())
+
+    async def scenario(engine: Engine, peer: Peer, ends: Ends) -> None:
+        reader, writer = ends
+        writer.write(call(1, b"c=lookup,t=basic,d=3000"))
+        while not engine.owed():
+            await asyncio.sleep(0)
+        engine.stop(10.0, 0.05)
+        early = asyncio.ensure_future(reader.readline())
+        await asyncio.wait({early}, timeout=2.0)
+        assert early.done()
+
+    play(monkeypatch, script, scenario)
