Servers set aside are tried again where no class may be repeated

Change: an unsafe request tries at once a server that refused connections (nothing is lost where it still does), any other 5 s after a repeatable one could have; the first answer after refused connects clears them.

--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -163,7 +163,7 @@
     """What this gateway knows of one server."""
 
     __slots__ = ("answered_at", "aside", "cold_at", "cold_left", "errors", "ghosts", "idle", "idle_at",
-                 "kind", "limit", "line", "load", "load_at", "out", "pace", "seen", "trial")
+                 "kind", "limit", "line", "load", "load_at", "out", "pace", "refused", "seen", "trial")
 
     def __init__(self, line: Member, now: int, limit: _Limit, kind: _Kind) -> None:
         self.line, self.limit, self.kind = line, limit, kind
@@ -171,6 +171,7 @@
         self.out: dict[tuple[int, int], int] = {}  # (request, attempt) -> sent at
         self.pace, self.seen = 1.0, 0  # answer time against the usual of the class, and answers behind it
         self.errors = 0.0
+        self.refused = False  # the last connection to it did not come up
         self.answered_at = now
         self.idle, self.idle_at = 0, now  # connections that carry nothing, as far as answers tell; when last
         self.aside, self.trial = False, 0  # set aside; when it may be tried next
@@ -845,7 +846,7 @@
                 held /= max(0.01, line.weight)
             cost = pace * (1.0 + ERROR_WEIGHT * server.errors) * (1.0 + held) * chance
             if name in shunned:
-                if server.out or self._now < server.trial or job.cls.effect is Effect.ONCE:
+                if server.out or self._now < self._earliest_trial(job, server):
                     continue
                 if self._pooled is None:
                     cost = 0.0  # its trial is due; hundreds of gateways try it without being made to
@@ -900,6 +901,16 @@
         self._aside = {s.line.server: None for s in suspects[: max(down, int(ASIDE_MOST * len(self._near)))]}
         return self._aside
 
+    @staticmethod
+    def _earliest_trial(job: _Job, server: _Server) -> int:
+        """When a request may try a server that is set aside.
+
+        One that must not run twice tries at once only a server that refused connections, as nothing is lost
+        where it still does; any other only where no request that may be repeated has come to try it first.
+        """
+        harmless = job.cls.effect is not Effect.ONCE or server.refused
+        return server.trial if harmless else server.trial + MEAN_SPAN
+
     def _aside_span(self) -> int:
         calls = ASIDE_CALLS * (1.0 if self._pooled is None else len(self._ready))
         return int(min(MEAN_SPAN, calls * (max(self._usual) or SECOND / 10)))
@@ -1064,6 +1075,9 @@
             if not fields.keys().isdisjoint(LOAD_FIELDS):
                 server.load_at = self._now
                 self._mean_load += SMOOTH * (server.load - self._mean_load)
+        refused_before = server.refused
+        server.refused = event.result is Result.CONNECT_FAILED or (
+            server.refused and event.result in (Result.NOT_SENT, Result.TIMEOUT, Result.CANCELLED))
         if event.result in (Result.OK, Result.ERROR, Result.FULL):
             server.answered_at = self._now
             server.idle, server.idle_at = server.idle + 1, self._now
@@ -1073,7 +1087,8 @@
             # What was given up would have taken longer still: a kind too slow for its load must show it.
             server.count_pace(event.elapsed / usual, event.result is Result.OK, self._now)
         if event.result is Result.OK:
-            server.errors *= 1 - SMOOTH
+            # A refused connect had proved it down, and now it is up.
+            server.errors = 0.0 if refused_before else server.errors * (1 - SMOOTH)
             server.aside = server.aside and server.errors > ERROR_LIMIT
             self._mean_answer += PACE_SMOOTH * (event.elapsed - self._mean_answer)
             if job is not None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from mothgap.interface import Cause, ListKind, Refuse, Result, ZoneParts
+from mothgap.interface import Cause, Effect, ListKind, Refuse, RequestClass, Result, Send, ZoneParts
 from mothgap.rules import KEPT_FOR
 from mothgap.settings import read_settings
-from tests.helpers import KEYED, MS, SETTINGS, START, Driver, line
+from tests.helpers import KEYED, MS, SECOND, SETTINGS, START, Driver, line
 from tests.test_drill import FACTS
 
 MANY = replace(SETTINGS, counter=None, fleet_size=1)
@@ -189,3 +189,43 @@
     driver.feed(ZoneParts(()))
     held = {server.line.zone: server.aside for server in driver.gateway._servers.values()}
     assert held == {0: True, 1: False}
+
+
+ONCE_ALONE = replace(SETTINGS, counter=None, classes=(
+    RequestClass(Effect.ONCE, aim=1 * SECOND, deadline=3 * SECOND, worth=1.0),
+))  # fmt: skip
+
+
+def sent(driver: Driver, seconds: int) -> Counter[str]:
+    """Servers that answered, of ten requests a second."""
+    served: Counter[str] = Counter()
+    for _ in range(10 * seconds):
+        driver.now += 100 * MS
+        driver.request(cls=0, customer=driver.next_id)
+        if isinstance(action := driver.actions[-1], Send):
+            driver.outcome(action.request)
+            served[action.server] += 1
+    return served
+
+
+def test_servers_that_refused_a_connection_are_tried_by_requests_that_must_not_run_twice() -> None:
+    # Guards a deployment without a class that may be repeated: nobody else would ever try them.
+    driver = Driver(ONCE_ALONE, servers=2)
+    driver.request(cls=0)
+    for _ in range(2):  # at each server
+        action = driver.actions[-1]
+        assert isinstance(action, Send)
+        driver.outcome(action.request, Result.CONNECT_FAILED)
+    assert isinstance(driver.actions[-1], Refuse)
+    assert sent(driver, 20).total() > 180
+
+
+def test_a_silent_server_is_tried_again_by_requests_that_must_not_run_twice_but_later() -> None:
+    driver = Driver(ONCE_ALONE, servers=2)
+    assert len(sent(driver, 2)) == 2  # both are in use
+    driver.request(cls=0, customer=driver.next_id)
+    silent = driver.actions[-1]
+    assert isinstance(silent, Send)
+    driver.wait(2 * SECOND)
+    assert silent.server not in sent(driver, 4)  # a request that may be repeated could try it first
+    assert silent.server in sent(driver, 10)
