One accept loop that survives every error accept may have, and closes nothing that waits

Change: OwnDoor and the workers' SharedDoor share one loop of their own: descriptors and memory that are short are waited for, any other error is that connection's alone, the last accepts before a close are tried again for 0.1 s.

--- a/lynxreel/fronts/listeners.py
+++ b/lynxreel/fronts/listeners.py
@@ -10,7 +10,6 @@
 import os
 import socket
 from collections.abc import Callable, Mapping, MutableMapping
-from contextlib import suppress
 from typing import Protocol
 
 from lynxreel.log import log
@@ -20,6 +19,9 @@
 FIRST_DESCRIPTOR = 3  # where a service manager's begin
 SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 SHORT_PAUSE = 0.1  # seconds without accepting after a want of descriptors or memory
+CLOSE_PAUSE = 0.01  # the same while the listener is being closed
+LAST_ACCEPTS = 0.1  # seconds in which that is tried again before the listener is closed over what waits
+TURN = 64  # connections that are taken before others have their turn
 Factory = Callable[[], asyncio.Protocol]
 
 
@@ -44,63 +46,6 @@
         """Take connections there from now on; an OSError where that can't be had."""
 
 
-class OwnDoor:
-    """A listener of this process, or one of a service manager's that it alone accepts from."""
-
-    def __init__(self, loop: asyncio.AbstractEventLoop, own: socket.socket, kept: bool) -> None:
-        """`kept`: somebody else holds it, too, and what waits in its queue stays there."""
-        self._loop, self._kept = loop, kept
-        self._own, self._factory = own, asyncio.Protocol
-        self._server: asyncio.Server
-        host, port = own.getsockname()[:2]
-        self.address: Address = (host, port)
-
-    async def begin(self, factory: Factory) -> None:
-        """Accept from now on."""
-        self._own.setblocking(False)
-        self._factory = factory  # type: ignore[assignment]
-        # A second descriptor of the same listener: uvloop closes its own with what has not been accepted.
-        self._server = await self._loop.create_server(factory, sock=self._own, backlog=BACKLOG)
-        self._own = self._own.dup()
-
-    async def close(self) -> None:
-        """The system has accepted what waits for us, and its clients may have written a request.
-
-        A connect that falls between the last look and the close is reset; that is a few microseconds.
-        """
-        self._server.close()
-        await asyncio.sleep(0)  # uvloop stops polling in the next turn
-        waiting = []
-        with suppress(OSError), self._own:  # a BlockingIOError: there is none left
-            while not self._kept:
-                waiting.append(self._own.accept()[0])
-        for client in waiting:
-            with suppress(OSError):  # it has gone already
-                await self._loop.connect_accepted_socket(self._factory, client)
-
-    def drop(self) -> None:
-        """Close at once."""
-        self._server.close()
-        self._own.close()
-
-
-class OwnDoors:
-    """Listeners that this process opens, or that a service manager has opened for it."""
-
-    def __init__(
-        self, loop: asyncio.AbstractEventLoop, given: Mapping[Address, socket.socket] | None = None
-    ) -> None:
-        self._loop, self._given = loop, given or {}
-
-    async def open(self, address: Address, factory: Factory) -> OwnDoor:
-        """Take connections there from now on; an OSError where that can't be had."""
-        given = self._given.get(address)
-        own = given.dup() if given is not None else socket.create_server(address, backlog=BACKLOG)
-        door = OwnDoor(self._loop, own, kept=given is not None)
-        await door.begin(factory)
-        return door
-
-
 class Gate(Protocol):
     """Says how many of the connections that wait at a shared listener this worker may take."""
 
@@ -112,8 +57,22 @@
         """Seconds."""
 
 
-class SharedDoor:
-    """A listener that several workers accept from: no more than its gate allows."""
+class Open:
+    """A gate that is always open."""
+
+    pause = 0.0
+
+    def take(self) -> int:
+        """As many as fit into one turn of the loop."""
+        return TURN
+
+
+class Accepting:
+    """Accepts connections from one listener, while it is open.
+
+    The event loop's own accepting closes what waits where descriptors are short (EMFILE, ENFILE), and with it
+    requests that clients have written. Here that waits in the listener's queue until there is room again.
+    """
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, own: socket.socket, factory: Factory, gate: Gate
@@ -135,22 +94,31 @@
         """Connections wait, or others have just taken them."""
         for _ in range(most := self._gate.take()):
             try:
-                client, _ = self._own.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+                if not self._accept():
+                    return
             except OSError as wrong:
-                if wrong.errno not in SHORT:
-                    raise
                 log(f"no connection can be taken for now: {wrong.strerror}")
                 self._rest(SHORT_PAUSE)
                 return
-            client.setblocking(False)
-            task = self._loop.create_task(self._loop.connect_accepted_socket(self._factory, client))
-            self._coming.add(task)
-            task.add_done_callback(self._came)
         if not most:
             self._rest(self._gate.pause)
 
+    def _accept(self) -> bool:
+        """Take the next connection; False where none waits. Raises an OSError of SHORT, which passes."""
+        try:
+            client, _ = self._own.accept()
+        except BlockingIOError:
+            return False
+        except OSError as wrong:
+            if wrong.errno in SHORT:
+                raise
+            return True  # this connection has failed already, as accept(2) tells; others may wait behind it
+        client.setblocking(False)
+        task = self._loop.create_task(self._loop.connect_accepted_socket(self._factory, client))
+        self._coming.add(task)
+        task.add_done_callback(self._came)
+        return True
+
     def _rest(self, seconds: float) -> None:
         self._loop.remove_reader(self._own)
         self._timer = self._loop.call_later(seconds, self._look)
@@ -160,22 +128,82 @@
         if not task.cancelled():
             task.exception()  # it has gone already; that is no news
 
-    async def close(self) -> None:
-        """What waits in the queue is for the others."""
-        self.drop()
+    def _stop(self) -> None:
+        """Look for no more connections."""
+        self._open = False
+        if self._timer is not None:
+            self._timer.cancel()
+        else:
+            self._loop.remove_reader(self._own)
+
+    async def _settle(self) -> None:
+        """Until all that has been taken is served."""
         for task in list(self._coming):
             await asyncio.wait([task])
 
     def drop(self) -> None:
         """Close at once."""
+        if self._open:
+            self._stop()
+            self._own.close()
+
+
+class OwnDoor(Accepting):
+    """A listener of this process, or one of a service manager's that it alone accepts from."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, own: socket.socket, factory: Factory, kept: bool
+    ) -> None:
+        """`kept`: somebody else holds it, too, and what waits in its queue stays there."""
+        super().__init__(loop, own, factory, Open())
+        self._kept = kept
+
+    async def close(self) -> None:
+        """The system has accepted what waits for us, and its clients may have written a request.
+
+        A connect that falls between the last look and the close is reset; that is a few microseconds.
+        """
         if not self._open:
             return
-        self._open = False
-        if self._timer is not None:
-            self._timer.cancel()
-        else:
-            self._loop.remove_reader(self._own)
+        self._stop()
+        last = self._loop.time() + LAST_ACCEPTS
+        while not self._kept:
+            try:
+                for _ in range(2 * BACKLOG):  # more than wait there, if some of them have failed
+                    if not self._accept():
+                        break
+                break
+            except OSError as wrong:
+                if self._loop.time() >= last:
+                    log(f"connections that wait are closed with the listener: {wrong.strerror}")
+                    break
+                await asyncio.sleep(CLOSE_PAUSE)
         self._own.close()
+        await self._settle()
+
+
+class OwnDoors:
+    """Listeners that this process opens, or that a service manager has opened for it."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, given: Mapping[Address, socket.socket] | None = None
+    ) -> None:
+        self._loop, self._given = loop, given or {}
+
+    async def open(self, address: Address, factory: Factory) -> OwnDoor:
+        """Take connections there from now on; an OSError where that can't be had."""
+        given = self._given.get(address)
+        own = given.dup() if given is not None else socket.create_server(address, backlog=BACKLOG)
+        return OwnDoor(self._loop, own, factory, kept=given is not None)
+
+
+class SharedDoor(Accepting):
+    """A listener that several workers accept from: no more than its gate allows."""
+
+    async def close(self) -> None:
+        """What waits in the queue is for the others."""
+        self.drop()
+        await self._settle()
 
 
 def activated(environment: MutableMapping[str, str] = os.environ) -> dict[Address, socket.socket]:
--- a/tests/test_client_closes.py
+++ b/tests/test_client_closes.py
@@ -294,6 +294,8 @@
                 stuck = 0
             except BlockingIOError:
                 stuck += 1
+            except ConnectionError:
+                break  # it has been cut off already
             await asyncio.sleep(0.01)
         await until(lambda: connection not in clients.connections)
 
