--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -137,7 +137,7 @@
     async def scenario() -> None:
         async with gateway(tmp_path, monkeypatch) as held:
             held.faults.fail(call, error, 6)
-            answers = []
+            answers: list[bytes] = []
             end = time.monotonic() + 8.0
             while len(answers) < 200 and time.monotonic() < end:
                 connection = await Connection.open(held.port)
