--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -22,11 +22,12 @@
 
 from mothgap.interface import (
     Action, Cancel, Cause, ClockShift, Count, Counted, CountedLate, Effect, Event, Expired, Fail, Group,
-    ListKind, Member, Members, NewSettings, Outcome, PeerMessage, Plan, Refuse, Request, RequestClass, Result,
+    ListKind, Members, NewSettings, Outcome, PeerMessage, Plan, Refuse, Request, RequestClass, Result,
     Send, SetTimer, Settings, Share, State, Stopping, Tell, Timer, Unsure, Watch, ZoneParts,
 )  # fmt: skip
 from mothgap.lending import LIFE, Ask, Give, Questions, held_back, in_set, read, write
 from mothgap.names import NAME_LIFE, SECOND, count_name, window
+from mothgap.state import MEAN_SPAN, PACE_SMOOTH, AttemptLimit, Customer, OpenRequest, Server, ServerKind
 
 METER_PATIENCE = 0.1  # of the class's aim; how long a request waits for its total
 BREAKER_TRIP = 3  # counter calls failed in a row before requests stop waiting for it: one or two are chance
@@ -38,15 +39,11 @@
 FIRSTS = 16  # first tries whose time left is known: some clients may be far less patient than most
 CALL_LEAST = 0.1  # of the requests that call at the least, so that a counter with room again is noticed soon
 CALL_HALF = 0.5  # of the burst taken; there a customer gets that share, with the square of it below and above
-EDGE_MOST = 0.5  # of the burst that is kept free for what other gateways have not told yet
 SHORT_WINDOWS = 2.0  # windows after a want of room in which cheaper classes leave some for dearer ones
 SHORT_KEEP = 0.5  # of the largest request; what every class leaves free then
-OTHERS_DOUBT = 2.0  # own units seen in totals at which they tell as much of the others' part as an even split
 LOOK_WINDOWS = 8.0  # windows after which what totals said of a customer has faded: long spells last longer
 HOT_CALLS = 2.0  # calls for a customer beyond its quota, for each that is likely to find room
 SMOOTH = 0.2  # share of a new reading in a running mean: about the last ten readings count
-PACE_SMOOTH = 0.03  # the same for answer times: work varies as much as its mean, so some thirty must count
-MEAN_SPAN = 5 * SECOND  # microseconds; over which a server's answers a second are judged: tens of answers
 ERROR_LIMIT = 0.3  # share of errors at which a server is set aside; healthy ones are far below
 ASIDE_MOST = 0.5  # part of the servers that may be set aside: if more look bad, suspect something shared
 ASIDE_CALLS = 6.0  # mean service times that a server set aside waits before one request tries it
@@ -85,143 +82,6 @@
 PACE_TRUST = 10.0  # own answers of a server at which its pace counts as much as the pace of its kind
 
 
-class _Customer:
-    """What this gateway knows of one customer's use. `debt` is units taken and not yet refilled, over all."""
-
-    __slots__ = ("at", "backlog", "burst", "ceiling", "debt", "excess", "fill", "full", "guess",
-                 "here_at", "limit_at", "looks", "lost", "open", "over", "own", "owed", "rate",
-                 "seen_others", "seen_own", "short_at", "total", "waits", "window")
-
-    def __init__(self, burst: float, now: int) -> None:
-        self.burst, self.debt, self.at = burst, 0.0, now
-        self.window, self.total, self.own = -1, 0.0, 0.0  # window number, last total in it, own adds in it
-        self.looks, self.over = 0.0, 0.0  # decisions by total, and refusals among them, fading
-        self.excess = 0.0  # units in the window's totals that found no room in the burst
-        self.guess = 0.0  # part of `debt` that stands for others until the next total
-        self.seen_own, self.seen_others = 0.0, 0.0  # units that totals held, by whom, fading
-        self.lost = 0.0  # adds in the window whose answer never came: the next total holds them
-        self.owed = 0.0  # units that passed without a call: to be added with the next one
-        self.backlog = 0.0  # running mean of what was owed when calls were made
-        self.ceiling, self.limit_at = 0.0, 0.0  # what the ceiling allows, and where on `_filled` that was
-        self.rate = 0.0  # of the quota
-        self.fill, self.full = 0.0, 0.0  # what an even share of it refills a second, and holds
-        self.here_at = now - NAME_LIFE  # when a request of it last came here
-        self.short_at = now - NAME_LIFE  # when it was last found to have no room
-        self.open = 0
-        self.waits: list[_Job] = []  # requests that wait for a part of the ceiling from other gateways
-
-    def take(self, units: float) -> None:
-        """The use of others, or what they have taken back: first of what was on top of the burst.
-
-        What goes beyond a quota takes nothing from it. Guards against a debt that stays too high for as long
-        as the customer asks for all that is refilled; lets through too much where takebacks are lost.
-        """
-        back = min(self.excess, max(0.0, -units))
-        debt = max(0.0, self.debt + units + back)
-        self.debt = min(debt, self.burst)
-        self.excess += debt - self.debt - back
-
-    def fits(self, units: float, spread: int, keep: float, sure: float = 0.0) -> bool:
-        """There is room, but for `sure` units of the debt, beside what other gateways owe the counter.
-
-        They are taken to owe as this one does. Guards a quota at its edge, where one unit of it unseen is one
-        too many; a customer that is always there loses nothing, one that comes in bursts a part of each.
-        """
-        edge = min(EDGE_MOST * self.burst, self.backlog * self.others(spread) + keep)
-        return self.debt - sure + units + edge <= max(self.burst, units + edge)
-
-    def others(self, spread: int) -> float:
-        """Units that others let through for each one here: as totals told, else as much at each gateway."""
-        told = max(0.0, self.seen_others) + OTHERS_DOUBT * max(0, spread - 1)
-        return told / (max(0.0, self.seen_own) + OTHERS_DOUBT)
-
-
-class _Limit:
-    """How many attempts this gateway may have at a server; a fraction of one in large fleets."""
-
-    __slots__ = ("cut_at", "most")
-
-    def __init__(self, most: float, now: int) -> None:
-        self.most, self.cut_at = most, now  # and when it was last cut
-
-
-class _Kind:
-    """What servers of one kind share: a gateway of a large fleet meets each of them too seldom."""
-
-    __slots__ = ("at", "pace", "rate", "seen")
-
-    def __init__(self, now: int) -> None:
-        self.pace, self.seen = 1.0, 0  # answer time against the usual of the class, and answers behind it
-        self.rate, self.at = 0.0, now  # answers a second from all of them to this gateway, fading
-
-    def rate_at(self, now: int) -> float:
-        """Answers a second over about the last MEAN_SPAN."""
-        return self.rate * math.exp((self.at - now) / MEAN_SPAN)
-
-
-class _Server:
-    """What this gateway knows of one server."""
-
-    __slots__ = ("answered_at", "aside", "cold_at", "cold_left", "errors", "ghosts", "idle", "idle_at",
-                 "kind", "limit", "line", "load", "load_at", "out", "pace", "refused", "seen", "trial")
-
-    def __init__(self, line: Member, now: int, limit: _Limit, kind: _Kind) -> None:
-        self.line, self.limit, self.kind = line, limit, kind
-        self.ghosts: list[int] = []  # when attempts were sent that were given up, but may still wait there
-        self.out: dict[tuple[int, int], int] = {}  # (request, attempt) -> sent at
-        self.pace, self.seen = 1.0, 0  # answer time against the usual of the class, and answers behind it
-        self.errors = 0.0
-        self.refused = False  # the last connection to it did not come up
-        self.answered_at = now
-        self.idle, self.idle_at = 0, now  # connections that carry nothing, as far as answers tell; when last
-        self.aside, self.trial = False, 0  # set aside; when it may be tried next
-        self.load, self.load_at = 0.0, now
-        self.cold_left, self.cold_at = 0.0, now
-
-    def held(self, since: int) -> int:
-        """Attempts that are out, or given up but perhaps still there if sent later than `since`."""
-        return len(self.out) + (sum(ghost > since for ghost in self.ghosts) if self.ghosts else 0)
-
-    def silent(self, now: int, since: int) -> bool:
-        """No answer of any kind since then."""
-        return self.answered_at <= since < now
-
-    def put_aside(self, now: int, span: int) -> None:
-        """Leave it alone, but for one trial after each span."""
-        self.aside, self.trial = True, now + span
-
-    def count_pace(self, pace: float, answered: bool, now: int) -> None:
-        """One more answer time, or a part of one, of this server and its kind."""
-        for known in (self, self.kind):
-            known.seen += 1
-            known.pace += max(PACE_SMOOTH, 1.0 / known.seen) * (pace - known.pace)
-        if answered:
-            self.kind.rate, self.kind.at = self.kind.rate_at(now) + SECOND / MEAN_SPAN, now
-
-
-class _Job:
-    """A request that is owed its final answer."""
-
-    __slots__ = ("added", "aim_at", "asks", "attempts", "cls", "customer", "deadline", "held", "live", "ran",
-                 "request", "unsent", "unsure")
-
-    def __init__(self, request: Request, cls: RequestClass, customer: _Customer, now: int) -> None:
-        self.request, self.cls, self.customer = request, cls, customer
-        self.deadline, self.aim_at = now + request.time_left, now + min(cls.aim, request.time_left)
-        self.attempts = 0
-        self.live: dict[int, tuple[_Server, int]] = {}  # attempts that are out: server and when sent
-        self.ran: list[tuple[Member, int]] = []  # attempts that may have run: where and when sent
-        self.held = True  # waiting for its total
-        self.added = 0.0  # what was added to the count for it
-        self.asks = 0  # gateways asked for a part of the ceiling
-        self.unsent = 0  # attempts that count for nothing, as no byte of them went out
-        self.unsure = False  # another gateway may have gone on with it, with its units
-
-    def end_by(self, until: int) -> None:
-        """Its answer is due by then, whatever its client would wait for."""
-        self.deadline, self.aim_at = min(self.deadline, until), min(self.aim_at, until)
-
-
 class Gateway:
     """One gateway's decisions: a pure function of its settings, its seed and the events it is given."""
 
@@ -230,23 +90,23 @@
         self._random = random.Random(seed)
         self._now, self._shift = now, 0  # the shift is of the shared clock, which names windows
         self._out: list[Action] = []
-        self._servers: dict[str, _Server] = {}
-        self._ready: list[_Server] = []
-        self._near: list[_Server] = []  # of these, the ones that this gateway sends to
+        self._servers: dict[str, Server] = {}
+        self._ready: list[Server] = []
+        self._near: list[Server] = []  # of these, the ones that this gateway sends to
         self._zones: dict[int, float] = {}  # zones that the fleet uses in part
-        self._kinds: dict[int, _Kind] = {}
+        self._kinds: dict[int, ServerKind] = {}
         self._warm_of: dict[int, int] = {}  # warm servers by kind, counted at `_warm_at`
         self._warm_at = now - NAME_LIFE
-        self._pooled: _Limit | None = None  # one limit for all servers, in fleets of more than a few gateways
+        self._pooled: AttemptLimit | None = None  # one limit for all servers, in fleets of more than a few
         self._seldom = False  # more gateways than servers: most customers are met less than once in a window
         self._live, self._credit, self._credit_at = 0, 0.0, now  # attempts out; attempt-microseconds saved up
         self._mean_value = 1e-9  # running mean of worth for the work
         self._mean_answer = 0.0  # running mean answer time, of all classes
         self._mean_load = 0.0  # running mean of reported loads
-        self._customers: OrderedDict[int, _Customer] = OrderedDict()
-        self._jobs: dict[int, _Job] = {}
+        self._customers: OrderedDict[int, Customer] = OrderedDict()
+        self._jobs: dict[int, OpenRequest] = {}
         self._asked: dict[int, list[int | None]] = {}  # count name: requests of its open calls
-        self._amounts: dict[int, list[tuple[_Customer, float]]] = {}
+        self._amounts: dict[int, list[tuple[Customer, float]]] = {}
         self._usual = [0.0 for _ in settings.classes]  # running mean answer time by class
         # Counter calls failed in a row, each sent after the one before had; when the last one did.
         self._failed, self._failed_at = 0, now - NAME_LIFE
@@ -338,7 +198,7 @@
     def _on_request(self, request: Request) -> None:
         plan, cls = self._s.plans[request.plan], self._s.classes[request.cls]
         customer = self._customer(request.customer, plan, request.entry_points)
-        job = self._jobs[request.id] = _Job(request, cls, customer, self._now)
+        job = self._jobs[request.id] = OpenRequest(request, cls, customer, self._now)
         job.aim_at -= self._spent(request, cls)
         job.added = request.units if request.counted else 0.0  # given back where it is not sent on
         customer.here_at = self._now
@@ -367,7 +227,7 @@
         else:
             self._meter(job, plan, hot, doubt)
 
-    def _meter(self, job: _Job, plan: Plan, hot: bool, doubt: float) -> None:
+    def _meter(self, job: OpenRequest, plan: Plan, hot: bool, doubt: float) -> None:
         """Ask for the total, or decide without it."""
         request, customer = job.request, job.customer
         if plan.rate <= 0:
@@ -404,17 +264,17 @@
                 self._decide_alone(job, plan)
 
     @staticmethod
-    def _patience_of(job: _Job) -> int:
+    def _patience_of(job: OpenRequest) -> int:
         """How long a request may wait for its total."""
         return min(int(job.cls.aim * METER_PATIENCE), job.request.time_left // 2)
 
-    def _no_room(self, job: _Job, plan: Plan) -> bool:
+    def _no_room(self, job: OpenRequest, plan: Plan) -> bool:
         """Known before any call. What may just fit is for a total to say, as long as the counter keeps up."""
         if self._calling >= 1.0:
             return job.customer.debt + job.request.units > plan.burst
         return not self._within(job, plan, job.request.units, job.customer.guess)
 
-    def _within(self, job: _Job, plan: Plan, units: float, sure: float = 0.0) -> bool:
+    def _within(self, job: OpenRequest, plan: Plan, units: float, sure: float = 0.0) -> bool:
         """There is room for the units, and for some more where the customer went short of late.
 
         For adds that no total holds yet, as going beyond costs more than waiting; and for dearer requests.
@@ -452,11 +312,11 @@
         crowded = self._calling < 1.0 or (self._pooled is not None and self._credit < self._longest / 2)
         return cls.deadline - request.time_left if later and crowded and cls.late_worth < 0.5 else 0
 
-    def _customer(self, number: int, plan: Plan, entry_points: int) -> _Customer:
+    def _customer(self, number: int, plan: Plan, entry_points: int) -> Customer:
         """The customer's state, moved on to now. Customers long unheard of are dropped."""
         customer = self._customers.get(number)
         if customer is None:
-            customer = self._customers[number] = _Customer(plan.burst, self._now)
+            customer = self._customers[number] = Customer(plan.burst, self._now)
             # The ceiling's share starts empty at boot, so that no restart refills it; and where all of it has
             # been handed back, as another gateway may have served the customer meanwhile.
             customer.limit_at = self._emptied
@@ -482,7 +342,7 @@
         self._refill(customer)
         return customer
 
-    def _as_new(self, customer: _Customer) -> bool:
+    def _as_new(self, customer: Customer) -> bool:
         """Long unheard of, and all refilled: letting it go gives it no fresh burst."""
         passed = (self._now - customer.at) / SECOND
         quota = not customer.rate or customer.debt <= customer.rate * passed
@@ -490,7 +350,7 @@
         ceiling = not customer.fill or customer.full * self._part <= customer.ceiling
         return passed > NAME_LIFE / 2 / SECOND and quota and ceiling
 
-    def _refill(self, customer: _Customer) -> None:
+    def _refill(self, customer: Customer) -> None:
         """What has come to this gateway's share of the customer's ceiling since it was looked at."""
         filled = self._filled + self._part * (self._now - self._filled_at)
         more = customer.fill * (filled - customer.limit_at) / SECOND
@@ -510,7 +370,7 @@
         if part <= 0:
             self._emptied, self._emptied_at = self._filled, self._now
 
-    def _enter_window(self, job: _Job, plan: Plan) -> tuple[int, int]:
+    def _enter_window(self, job: OpenRequest, plan: Plan) -> tuple[int, int]:
         """The name of the customer's count now, and its window's length; a new window starts from nothing."""
         number, length = window(job.request.customer, plan, self._now + self._shift)
         name = count_name(job.request.customer, number)
@@ -520,7 +380,7 @@
             job.customer.owed = max(0.0, job.customer.owed)  # this count never held what would be taken back
         return name, length
 
-    def _count(self, job: _Job, plan: Plan, waiting: int | None, units: float) -> None:
+    def _count(self, job: OpenRequest, plan: Plan, waiting: int | None, units: float) -> None:
         """Add to the customer's count of this window; `waiting` is the request that hangs on the total."""
         name, length = self._enter_window(job, plan)
         # What has been refilled since is owed no more.
@@ -561,7 +421,7 @@
             customer.debt += job.request.units
             self._pass(job, plan)
 
-    def _take_total(self, customer: _Customer, name: int, amount: float, total: float) -> float:
+    def _take_total(self, customer: Customer, name: int, amount: float, total: float) -> float:
         """What a total tells of the others' use, beyond what has been guessed of it."""
         if name != customer.window:
             return 0.0
@@ -594,7 +454,7 @@
             others = self._take_total(customer, event.name, event.amount, event.total)
             customer.take(others)
 
-    def _count_failed(self, event: Counted, customer: _Customer, amount: float) -> None:
+    def _count_failed(self, event: Counted, customer: Customer, amount: float) -> None:
         """No total. What was not added is owed; what may have been is this gateway's own in the next total.
 
         It is away when calls fail one after another, each sent after the one before it had failed: those
@@ -625,7 +485,7 @@
         elif self._now - event.elapsed >= self._calling_cut:
             self._calling, self._calling_cut = max(CALL_LEAST, self._calling * CALL_CUT), self._now
 
-    def _settle(self, job: _Job, units: float) -> None:
+    def _settle(self, job: OpenRequest, units: float) -> None:
         """Units that turned out otherwise than counted: guesses, or a request that was not sent on.
 
         On a crowded counter they are added with the next call for the customer.
@@ -639,7 +499,7 @@
         else:
             job.customer.owed += units
 
-    def _decide_alone(self, job: _Job, plan: Plan) -> None:
+    def _decide_alone(self, job: OpenRequest, plan: Plan) -> None:
         """Exception: no total to be had. What this gateway lets through stands for what others do meanwhile.
 
         As much at each gateway where there is no counter, else as much as totals told of them, where no call
@@ -667,21 +527,21 @@
 
     # --- ceilings ---------------------------------------------------------------------------------------
 
-    def _may_pass(self, job: _Job, plan: Plan) -> bool:
+    def _may_pass(self, job: OpenRequest, plan: Plan) -> bool:
         """Rule 5, and plans that cap what is out: this gateway's own share, whatever the counter says."""
         return self._may_open(job, plan) and (
             plan.ceiling_rate <= 0 or job.request.sent or job.customer.ceiling >= job.request.units)
 
-    def _may_open(self, job: _Job, plan: Plan) -> bool:
+    def _may_open(self, job: OpenRequest, plan: Plan) -> bool:
         spread = max(1, job.request.entry_points)
         return not plan.concurrency or job.customer.open < -(-plan.concurrency // spread)
 
-    def _may_borrow(self, job: _Job, plan: Plan) -> bool:
+    def _may_borrow(self, job: OpenRequest, plan: Plan) -> bool:
         """Other gateways may have saved up what is missing here."""
         lends = self._s.limits.peers and plan.ceiling_rate > 0 and self._part > 0
         return lends and job.request.entry_points > 1 and self._may_open(job, plan)
 
-    def _pass(self, job: _Job, plan: Plan) -> None:
+    def _pass(self, job: OpenRequest, plan: Plan) -> None:
         """The quota allows it, and it is in the debt; it goes on as soon as the ceiling allows it, too.
 
         It waits no longer than for a total, and only while questions are out that may bring what is missing.
@@ -699,16 +559,16 @@
         else:
             self._end(job, Cause.CEILING)
 
-    def _borrow(self, job: _Job, plan: Plan) -> None:
+    def _borrow(self, job: OpenRequest, plan: Plan) -> None:
         """Ask for what is missing at once, while the total is on its way."""
         if job.customer.ceiling < job.request.units and self._may_borrow(job, plan):
             self._ask(job, plan, ASK_FIRST)
 
-    def _hopes(self, job: _Job) -> bool:
+    def _hopes(self, job: OpenRequest) -> bool:
         """Questions are out for its customer."""
         return self._questions.out(job.request.customer, self._now) > 0
 
-    def _ask(self, job: _Job, plan: Plan, gateways: int) -> None:
+    def _ask(self, job: OpenRequest, plan: Plan, gateways: int) -> None:
         request, customer = job.request, job.customer
         full = customer.full * self._part
         wanted = max(request.units - customer.ceiling, (full - customer.ceiling) / gateways)
@@ -751,7 +611,7 @@
             customer.ceiling -= units
         self._out.append(Tell(sender, write(Give(ask.customer, ask.number, units))))
 
-    def _go_on(self, customer: _Customer) -> None:
+    def _go_on(self, customer: Customer) -> None:
         """Requests that wait go on in their order, ask once more, or are told that there is nothing."""
         while customer.waits:
             job = customer.waits[0]
@@ -768,7 +628,7 @@
 
     # --- choose -----------------------------------------------------------------------------------------
 
-    def _rank(self, job: _Job, plan: Plan, hot: bool) -> float:
+    def _rank(self, job: OpenRequest, plan: Plan, hot: bool) -> float:
         """Who is refused first when room is short: beyond quota (1), then the least worth for its work."""
         value = job.cls.worth * plan.price / (self._usual[job.request.cls] or self._longest)
         self._mean_value += SMOOTH * (value - self._mean_value)
@@ -810,7 +670,7 @@
             self._credit = min(self._longest, self._credit + gain * (self._now - self._credit_at))
         self._credit_at = self._now
 
-    def _choose(self, job: _Job, avoid: str | None) -> _Server | None:
+    def _choose(self, job: OpenRequest, avoid: str | None) -> Server | None:
         """The server with the least expected wait, among those that every rule allows for this attempt."""
         if not self._room():
             return None
@@ -860,7 +720,7 @@
                 best, least = server, cost
         return best
 
-    def _candidates(self) -> Iterable[_Server | None]:
+    def _candidates(self) -> Iterable[Server | None]:
         """All servers; or some drawn by chance, None, and then all, for where none of those will do."""
         near = self._near
         if len(near) <= MANY:
@@ -868,7 +728,7 @@
         draw = self._random.random
         return chain([near[int(draw() * len(near))] for _ in range(LOOK)], (None,), near)
 
-    def _fits(self, job: _Job, server: _Server) -> bool:
+    def _fits(self, job: OpenRequest, server: Server) -> bool:
         """Rule 2: once an attempt may have run, a keyed request stays in its group and within its window."""
         for line, sent in job.ran:
             if job.cls.effect is Effect.ONCE:
@@ -902,7 +762,7 @@
         return self._aside
 
     @staticmethod
-    def _earliest_trial(job: _Job, server: _Server) -> int:
+    def _earliest_trial(job: OpenRequest, server: Server) -> int:
         """When a request may try a server that is set aside.
 
         One that must not run twice tries at once only a server that refused connections, as nothing is lost
@@ -915,7 +775,7 @@
         calls = ASIDE_CALLS * (1.0 if self._pooled is None else len(self._ready))
         return int(min(MEAN_SPAN, calls * (max(self._usual) or SECOND / 10)))
 
-    def _cold_room(self, server: _Server) -> bool:
+    def _cold_room(self, server: Server) -> bool:
         """Rule 4: a server that has just started gets this gateway's share of what it can surely take.
 
         That is judged by what warm servers of its kind answer, or of any kind where there is none.
@@ -937,13 +797,13 @@
         server.cold_at = self._now
         return server.cold_left >= 1.0
 
-    def _cold(self, server: _Server) -> bool:
+    def _cold(self, server: Server) -> bool:
         started = server.line.started_at
         return started > 0 and self._now - started < self._s.safety.cold_span
 
     # --- send -------------------------------------------------------------------------------------------
 
-    def _try(self, job: _Job, avoid: str | None = None) -> None:
+    def _try(self, job: OpenRequest, avoid: str | None = None) -> None:
         """Start the next attempt, or end the request where there is none to make."""
         job.held = False
         until_aim = job.aim_at - self._now - self._s.tick
@@ -956,7 +816,7 @@
             return
         self._send(job, server)
 
-    def _send(self, job: _Job, server: _Server) -> None:
+    def _send(self, job: OpenRequest, server: Server) -> None:
         left, until_aim = job.deadline - self._now, job.aim_at - self._now - self._s.tick
         timeout = left if job.cls.late_worth > 0 else min(left, until_aim)
         spent, most = job.attempts - job.unsent, self._s.limits.max_attempts
@@ -981,7 +841,7 @@
         job.live[job.attempts] = (server, self._now)
         job.attempts += 1
 
-    def _hush(self, job: _Job) -> int:
+    def _hush(self, job: OpenRequest) -> int:
         """Time without an answer that tells something of a server; less only of a client's short patience."""
         return int(SILENCE * self._usual[job.request.cls])
 
@@ -1033,7 +893,7 @@
         elif job is not None and job.live:
             job.customer.open = max(0, job.customer.open - 1)
 
-    def _pace_limit(self, server: _Server, event: Outcome, job: _Job | None) -> None:
+    def _pace_limit(self, server: Server, event: Outcome, job: OpenRequest | None) -> None:
         """Overload: keep so little at a server that answers meet their aims; the rest is refused.
 
         Guards against servers driven so far that they only work on what nobody waits for. What was given up
@@ -1059,7 +919,7 @@
             limit.most = max(1.0 / self._s.fleet_size, limit.most * LIMIT_CUT)
             limit.cut_at = self._now
 
-    def _learn(self, server: _Server, event: Outcome, job: _Job | None) -> None:
+    def _learn(self, server: Server, event: Outcome, job: OpenRequest | None) -> None:
         """Keep the server's pace, error share and load."""
         if event.load:
             fields = dict(zip(self._s.report_fields, event.load, strict=False))
@@ -1149,7 +1009,7 @@
 
     # --- answer -----------------------------------------------------------------------------------------
 
-    def _end(self, job: _Job, cause: Cause) -> None:
+    def _end(self, job: OpenRequest, cause: Cause) -> None:
         """The one final answer where no attempt gave it. Rules 1 and 2 meet here."""
         for attempt in job.live:
             if self._s.limits.may_cancel:
@@ -1167,7 +1027,7 @@
             job.customer.waits.remove(job)
         del self._jobs[job.request.id]
 
-    def _retry_after(self, job: _Job) -> int:
+    def _retry_after(self, job: OpenRequest) -> int:
         """About one unit's refill, or until these units fit, and never past the end of the window."""
         plan = self._s.plans[job.request.plan]
         if plan.rate <= 0:
@@ -1190,7 +1050,7 @@
         if not self._servers and self._s.fleet_size > LIMIT_START:
             # One gateway's part of a server's limit is a fraction of an attempt, and little is seen of each.
             # Limits of their own would let one attempt out at every server, by every gateway.
-            self._pooled = _Limit(LIMIT_START / self._s.fleet_size, self._now)
+            self._pooled = AttemptLimit(LIMIT_START / self._s.fleet_size, self._now)
             if self._s.fleet_size > len(named):
                 self._seldom, self._calling = True, 0.5
         if event.kind is not ListKind.CHANGES:
@@ -1207,9 +1067,9 @@
                     server.cold_left, server.cold_at = self._random.random(), self._now
                 server.line = line
             else:
-                limit = self._pooled or _Limit(LIMIT_START / self._s.fleet_size, self._now)
-                kind = self._kinds.setdefault(line.kind, _Kind(self._now))
-                server = self._servers[line.server] = _Server(line, self._now, limit, kind)
+                limit = self._pooled or AttemptLimit(LIMIT_START / self._s.fleet_size, self._now)
+                kind = self._kinds.setdefault(line.kind, ServerKind(self._now))
+                server = self._servers[line.server] = Server(line, self._now, limit, kind)
                 # Chance, not nothing: of hundreds of gateways, each with a small share, some send at once.
                 server.cold_left = self._random.random()
         self._list()
