A start told by a clock that was stepped counts as a cold start for its whole span

Change: a changed start that lies in the future, or over a minute before the list last told of the start before it, counts as now. Not covered: a gateway that is itself started after its own machine's clock was stepped, and starts under new ids.

--- a/bench/days.py
+++ b/bench/days.py
@@ -58,7 +58,7 @@
 
     def member(number: int) -> Member:
         state = State.DRAINING if dice.random() < 0.1 else State.READY
-        started = now // 1_000 if dice.random() < 0.2 else 0
+        started = now if dice.random() < 0.2 else 0
         return Member(f"box-{number}", state, number % 2, dice.randrange(2), 0, started, 1.0)
 
     later(0, Members(ListKind.FULL, 1, tuple(member(n) for n in range(boxes))))
--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -691,7 +691,7 @@
                 continue
             if job.ran and not self._fits(job, server):
                 continue
-            if line.started_at > cold_since and not self._cold_room(server):
+            if server.started > cold_since and not self._cold_room(server):
                 continue
             # Expected time to an answer, in usual answer times, as far as it is known. The less is known of a
             # server's load, the more chance decides, in proportion to what its kind does: gateways that know
@@ -712,7 +712,7 @@
                     cost = 0.0  # its trial is due; hundreds of gateways try it without being made to
             if line.zone != zone:
                 cost *= FAR
-            if line.started_at <= cold_since and (not server.idle or server.idle_at < kept):
+            if server.started <= cold_since and (not server.idle or server.idle_at < kept):
                 cost *= new  # nobody is connected to one that has just come: what it may take is its limit
             if name == avoid:
                 cost = (1.0 + cost) * AVOID
@@ -781,7 +781,7 @@
         That is judged by what warm servers of its kind answer, or of any kind where there is none.
         """
         safety = self._s.safety
-        started = server.line.started_at
+        started = server.started
         if not self._cold(server):
             return True
         age = max(0, self._now - started) / max(1, safety.cold_span)
@@ -798,7 +798,7 @@
         return server.cold_left >= 1.0
 
     def _cold(self, server: Server) -> bool:
-        started = server.line.started_at
+        started = server.started
         return started > 0 and self._now - started < self._s.safety.cold_span
 
     # --- send -------------------------------------------------------------------------------------------
@@ -1062,8 +1062,7 @@
             elif line.server in self._servers:
                 server = self._servers[line.server]
                 if line.started_at != server.line.started_at:
-                    server.aside, server.errors, server.pace, server.seen = False, 0.0, 1.0, 0
-                    server.ghosts = []
+                    server.restarted(line, self._now)
                     server.cold_left, server.cold_at = self._random.random(), self._now
                 server.line = line
             else:
@@ -1072,6 +1071,8 @@
                 server = self._servers[line.server] = Server(line, self._now, limit, kind)
                 # Chance, not nothing: of hundreds of gateways, each with a small share, some send at once.
                 server.cold_left = self._random.random()
+            if line.state is not State.GONE and event.kind is not ListKind.CACHED:
+                self._servers[line.server].listed_at = self._now
         self._list()
 
     def _list(self) -> None:
--- a/mothgap/state.py
+++ b/mothgap/state.py
@@ -10,6 +10,7 @@
 from mothgap.interface import Member, Request, RequestClass
 from mothgap.names import NAME_LIFE, SECOND
 
+CLOCKS_AGREE = 60 * SECOND  # microseconds; news of a start is never as late as this
 EDGE_MOST = 0.5  # of the burst that is kept free for what other gateways have not told yet
 OTHERS_DOUBT = 2.0  # own units seen in totals at which they tell as much of the others' part as an even split
 PACE_SMOOTH = 0.03  # the same for answer times: work varies as much as its mean, so some thirty must count
@@ -94,10 +95,13 @@
     """What this gateway knows of one server."""
 
     __slots__ = ("answered_at", "aside", "cold_at", "cold_left", "errors", "ghosts", "idle", "idle_at",
-                 "kind", "limit", "line", "load", "load_at", "out", "pace", "refused", "seen", "trial")
+                 "kind", "limit", "line", "listed_at", "load", "load_at", "out", "pace", "refused", "seen",
+                 "started", "trial")  # fmt: skip
 
     def __init__(self, line: Member, now: int, limit: AttemptLimit, kind: ServerKind) -> None:
         self.line, self.limit, self.kind = line, limit, kind
+        self.listed_at: int | None = None  # when its line was last told as it stood then; None: perhaps stale
+        self.started = min(line.started_at, now)  # on this gateway's clock; 0: long past
         self.ghosts: list[int] = []  # when attempts were sent that were given up, but may still wait there
         self.out: dict[tuple[int, int], int] = {}  # (request, attempt) -> sent at
         self.pace, self.seen = 1.0, 0  # answer time against the usual of the class, and answers behind it
@@ -109,6 +113,19 @@
         self.load, self.load_at = 0.0, now
         self.cold_left, self.cold_at = 0.0, now
 
+    def restarted(self, line: Member, now: int) -> None:
+        """It has started again: nothing that was seen of it holds any more.
+
+        The list tells the start by another machine's wall clock, which may have been stepped, as may have
+        been this one's before this process began. It can't lie in the future, nor before the list last told
+        of the start that preceded it: then the clocks disagree, and it counts as now.
+        """
+        self.aside, self.errors, self.pace, self.seen = False, 0.0, 1.0, 0
+        self.ghosts = []
+        self.started = min(line.started_at, now)
+        if self.listed_at is not None and 0 < line.started_at < self.listed_at - CLOCKS_AGREE:
+            self.started = now
+
     def held(self, since: int) -> int:
         """Attempts that are out, or given up but perhaps still there if sent later than `since`."""
         return len(self.out) + (sum(ghost > since for ghost in self.ghosts) if self.ghosts else 0)
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -8,8 +8,9 @@
 import pytest
 
 from mothgap.interface import Action, Limits, ListKind, Members, Plan, Send, Settings, State
+from mothgap.view import use
 from tests.gateways import Gateways
-from tests.helpers import SECOND, SETTINGS, line
+from tests.helpers import SECOND, SETTINGS, Driver, line
 
 CAPACITY = 20.0  # requests of mean work a second that a warm server bears
 USE = 0.45  # of that, outside bursts
@@ -98,3 +99,31 @@
             day.gateways.restart(number)
         day.load(4.0, times=4.0)
         assert day.worst < 1.0
+
+
+def bears(driver: Driver) -> float:
+    """What the only server is taken to bear: less while it counts as cold."""
+    driver.members()  # tells the time, and nothing else
+    return use(driver.gateway)[0].bears
+
+
+@pytest.mark.parametrize("step", [-3_600, 0, 3_600])
+def test_a_restart_told_by_a_clock_that_was_stepped_is_a_cold_start_for_its_whole_span(step: int) -> None:
+    driver = Driver(servers=0)
+    driver.members(line(1), kind=ListKind.FULL)
+    warm = bears(driver)
+    driver.now += 100 * SECOND
+    driver.members(line(1, started_at=driver.now + step * SECOND))
+    assert bears(driver) < warm
+    driver.now += driver.settings.safety.cold_span - SECOND
+    assert bears(driver) < warm
+    driver.now += 2 * SECOND
+    assert bears(driver) == warm
+
+
+def test_a_start_long_ago_that_a_stale_list_did_not_have_is_no_cold_start() -> None:
+    driver = Driver(servers=0)
+    driver.members(line(1), kind=ListKind.CACHED)
+    warm = bears(driver)
+    driver.members(line(1, started_at=driver.now - 600 * SECOND))
+    assert bears(driver) == warm
