--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -399,3 +399,21 @@
     paused = next(iter(driver.gateway._servers.values()))
     paused.ghosts = [driver.now] * 8  # more than the limits of all four come to
     assert driver.admitted().server != paused.line.server
+
+
+@pytest.mark.parametrize("final", [False, True])  # the module does not rely on being told
+@pytest.mark.parametrize("first", [Result.RESET, Result.CONNECT_FAILED, Result.NOT_SENT, Result.ERROR])
+@pytest.mark.parametrize("second", [Result.RESET, Result.CONNECT_FAILED, Result.NOT_SENT, Result.TIMEOUT])
+def test_no_attempt_begins_for_a_client_that_left_while_a_second_copy_was_out(
+    first: Result, second: Result, final: bool
+) -> None:
+    driver = Driver(SECOND_COPIES)
+    send = driver.admitted()
+    assert kinds(driver.wait(600 * MS)) == ["Send"]
+    driver.expire(send.request)
+    driver.lives[send.request].over = final
+    assert "Send" not in kinds(driver.outcome(send.request, first, 0))
+    assert "Send" not in kinds(driver.outcome(send.request, second, 1))
+    driver.lives[send.request].over = True
+    assert "Send" not in kinds(driver.wait(3 * SECOND))
+    assert driver.gateway._customers[CUSTOMER].open == 0
