A start outlives sockets that can't be had for a moment

Cause, found with the preloaded library: socket or bind failing with ENOBUFS or ENOMEM while a gateway starts ended it with 2 and one line, a crash.

--- a/lynxreel/backends/pools.py
+++ b/lynxreel/backends/pools.py
@@ -13,6 +13,7 @@
 from lynxreel.relay.budget import MOST as MOST_READ
 from lynxreel.relay.budget import Budget
 from lynxreel.relay.stream import Stream
+from lynxreel.transient import SHORT
 from mothgap.interface import Effect, Member, Result, Settings, State
 
 AGE = 0.025  # seconds idle in the first step of a table of ages; each further step is twice as long
@@ -23,7 +24,7 @@
 AGE_TRIAL = 8  # one in so many requests that are safe to repeat tries an age that is not trusted
 SWEEP = 1.0  # seconds between looks for connections that have idled too long
 SETTLE = 0.01  # seconds that a connection rests after an answer: what else comes with it is there by then
-OWN_LIMITS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+OWN_LIMITS = (*SHORT, errno.EADDRNOTAVAIL)
 SILENT = 2  # attempts given up in a row after which a server's idle connections are not trusted
 IDLE_PART = 0.5  # of the time after which a server closes an idle connection; a request crossing that is lost
 
--- a/lynxreel/fronts/listeners.py
+++ b/lynxreel/fronts/listeners.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import os
 import socket
 from collections.abc import Callable, Mapping, MutableMapping
@@ -14,10 +13,10 @@
 
 from lynxreel.log import log
 from lynxreel.protocol.address import Address
+from lynxreel.transient import SHORT, while_short
 
 BACKLOG = 1_024
 FIRST_DESCRIPTOR = 3  # where a service manager's begin
-SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 SHORT_PAUSE = 0.1  # seconds without accepting after a want of descriptors or memory
 CLOSE_PAUSE = 0.01  # the same while the listener is being closed
 LAST_ACCEPTS = 0.1  # seconds in which that is tried again before the listener is closed over what waits
@@ -193,7 +192,10 @@
     async def open(self, address: Address, factory: Factory) -> OwnDoor:
         """Take connections there from now on; an OSError where that can't be had."""
         given = self._given.get(address)
-        own = given.dup() if given is not None else socket.create_server(address, backlog=BACKLOG)
+        if given is not None:
+            own = given.dup()
+        else:
+            own = await while_short(lambda: socket.create_server(address, backlog=BACKLOG))
         return OwnDoor(self._loop, own, factory, kept=given is not None)
 
 
--- a/lynxreel/operations/desk.py
+++ b/lynxreel/operations/desk.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import cast
 
 from lynxreel.operations.calls import MOST_LINE, NONE_IN_TIME, TOO_LONG
 from lynxreel.protocol.address import Address
+from lynxreel.transient import while_short
 
 MOST_CALLERS = 12  # connections; one more pushes out the one that has said nothing for longest
 PATIENCE = 5.0  # seconds for a line
@@ -66,7 +68,8 @@
 
     async def open(self, listen: Address) -> Address:
         """Take calls; where. Raises an OSError where the address is taken."""
-        self._server = await self.loop.create_server(lambda: _Caller(self), *listen)
+        own = await while_short(lambda: socket.create_server(listen))
+        self._server = await self.loop.create_server(lambda: _Caller(self), sock=own)
         host, port = self._server.sockets[0].getsockname()[:2]
         return host, port
 
--- a/lynxreel/peers/datagrams.py
+++ b/lynxreel/peers/datagrams.py
@@ -9,6 +9,7 @@
 
 from lynxreel.log import log
 from lynxreel.protocol.address import Address
+from lynxreel.transient import while_short
 from mothgap.interface import PeerMessage
 
 MOST = 256  # bytes of a datagram; a longer one is none of a gateway's
@@ -37,6 +38,11 @@
         `beside`: also where an older process of this gateway does. The system brings datagrams to the one
         that was bound last.
         """
+        own = await while_short(lambda: self._bound(listen, beside))
+        await self._loop.create_datagram_endpoint(lambda: self, sock=own)
+
+    @staticmethod
+    def _bound(listen: Address, beside: bool) -> socket.socket:
         own = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
             own.setblocking(False)
@@ -45,7 +51,7 @@
         except OSError:
             own.close()
             raise
-        await self._loop.create_datagram_endpoint(lambda: self, sock=own)
+        return own
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Up."""
--- a/tests/shim/system_faults.c
+++ b/tests/shim/system_faults.c
@@ -17,7 +17,7 @@
 #include <time.h>
 #include <unistd.h>
 
-enum kind { ACCEPT, CONNECT, SOCKET, POLL, READ_SHORT, WRITE_SHORT, KINDS };
+enum kind { ACCEPT, CONNECT, SOCKET, POLL, READ_SHORT, WRITE_SHORT, BIND, KINDS };
 
 struct fault {
     int32_t error;  /* errno of the call; for the short kinds, the most bytes that it moves */
@@ -84,6 +84,12 @@
     return real(descriptor, address, size);
 }
 
+int bind(int descriptor, const struct sockaddr *address, socklen_t size) {
+    REAL(bind);
+    if (is_stream(descriptor) && fails(BIND)) return -1;
+    return real(descriptor, address, size);
+}
+
 int socket(int domain, int type, int protocol) {
     REAL(socket);
     if ((domain == AF_INET || domain == AF_INET6) && (type & 0xf) == SOCK_STREAM && fails(SOCKET)) return -1;
--- a/tests/system_faults.py
+++ b/tests/system_faults.py
@@ -22,6 +22,7 @@
     POLL = 3
     READ_SHORT = 4
     WRITE_SHORT = 5
+    BIND = 6
 
 
 class SystemFaults:
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -49,8 +49,10 @@
 
 
 @asynccontextmanager
-async def gateway(folder: Path, monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[Gateway]:
-    """A gateway that is up, with a discovery that tells of no change."""
+async def gateway(
+    folder: Path, monkeypatch: pytest.MonkeyPatch, starts_with: tuple[Call, int, int] | None = None
+) -> AsyncIterator[Gateway]:
+    """A gateway that is up, with a discovery that tells of no change. `starts_with`: a fault of its start."""
 
     async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
@@ -59,6 +61,8 @@
         writer.close()
 
     servers, faults = Servers(), SystemFaults(folder)
+    if starts_with is not None:
+        faults.fail(*starts_with)
     await servers.start(2)
     watched = await asyncio.start_server(discovery, LOCAL, 0)
     port = test_process.free_port()
@@ -89,6 +93,19 @@
     return connection, await asyncio.wait_for(connection.reader.readline(), DEADLINE)
 
 
+@pytest.mark.parametrize("call", [Call.SOCKET, Call.BIND])
+@pytest.mark.parametrize("error", [errno.ENOBUFS, errno.ENOMEM], ids=errno.errorcode.get)
+def test_a_start_outlives_sockets_that_can_not_be_had_for_a_moment(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, call: Call, error: int
+) -> None:
+    async def scenario() -> None:
+        async with gateway(tmp_path, monkeypatch, (call, error, 6)) as held:
+            assert held.faults.left(call) == 0
+            await serve(held, b"first")
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("error", ACCEPT_ERRORS, ids=errno.errorcode.get)
 def test_accepts_that_fail_for_a_moment_cost_no_request(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, error: int
