Second descriptors of a shared listener leave its blocking mode alone

The old process stood in accept4 on the shared listener (/proc/PID/syscall: 288 0xf): socket.dup in the starting process sets blocking mode on the description that both have, for the moment until it is set back, and the old one's accept on an empty queue waits for good. Change: duplicate() (fronts/listeners.py) for OwnDoors and the workers' SharedDoors, which had the same window.

--- a/lynxreel/fronts/listeners.py
+++ b/lynxreel/fronts/listeners.py
@@ -193,7 +193,7 @@
         """Take connections there from now on; an OSError where that can't be had."""
         given = self._given.get(address)
         if given is not None:
-            own = given.dup()
+            own = duplicate(given)
         else:
             own = await while_short(lambda: socket.create_server(address, backlog=BACKLOG))
         return OwnDoor(self._loop, own, factory, kept=given is not None)
@@ -243,6 +243,15 @@
     return own
 
 
+def duplicate(own: socket.socket) -> socket.socket:
+    """A second descriptor of a listener that other processes may be accepting from.
+
+    `socket.dup` sets the blocking mode anew, which all who share the listener have in common: another process
+    that finds the queue empty at that moment would stand still in its accept.
+    """
+    return socket.socket(own.family, own.type, own.proto, fileno=os.dup(own.fileno()))
+
+
 def listener(descriptor: int) -> socket.socket:
     """The listener of a descriptor; a ValueError where it is none that a front can use."""
     try:
--- a/lynxreel/workers/worker.py
+++ b/lynxreel/workers/worker.py
@@ -13,7 +13,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from lynxreel.fronts.listeners import Factory, SharedDoor, listener
+from lynxreel.fronts.listeners import Factory, SharedDoor, duplicate, listener
 from lynxreel.protocol.address import Address
 from lynxreel.workers.board import Board
 from lynxreel.workers.channel import Channel, Message
@@ -63,7 +63,7 @@
         if own is None:
             why = "the supervisor holds no listener there; mend: hand over to a new one for that"
             raise OSError(errno.EADDRNOTAVAIL, why)
-        return SharedDoor(self._loop, own.dup(), factory, self)
+        return SharedDoor(self._loop, duplicate(own), factory, self)
 
     def take(self) -> int:
         """How many of the connections that wait this worker takes now."""
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -11,7 +11,7 @@
 import pytest
 
 import lynxreel.__main__ as program
-from lynxreel.fronts.listeners import inherited
+from lynxreel.fronts.listeners import duplicate, inherited
 from lynxreel.node import Node
 from tests.net import LOCAL
 from tests.test_operations import ask
@@ -166,3 +166,13 @@
     assert process.returncode == 2
     assert named in err
     assert err.count(b"\n") == 1
+
+
+def test_a_second_descriptor_of_a_shared_listener_leaves_it_as_the_others_have_it() -> None:
+    # Guards whoever accepts there already: in blocking mode it would stand still before an empty queue.
+    with socket.create_server((LOCAL, 0)) as own:
+        own.setblocking(False)
+        handed_in = socket.socket(fileno=os.dup(own.fileno()))  # as another process has it
+        with handed_in, duplicate(handed_in) as second:
+            assert not os.get_blocking(own.fileno())
+            assert second.getsockname() == own.getsockname()
