A failing test names how long its own process and each gateway stood still

Need: five listed cases were red beside load alone, and nothing told a late rig from a late gateway.

Change: one mechanism for all tests that play by `tests.fleet.run`: the loop's own stand-still is measured, and a failure prints it with each gateway's `stood_ms`. Beside it a fault of the gateway's own telling: a stand-still in a span in which nothing was counted was in the state file for a moment and in no record; it is kept now until it has been recorded.

--- a/lynxreel/daemon/serve.py
+++ b/lynxreel/daemon/serve.py
@@ -89,7 +89,7 @@
         self._left = 0
         self._address_goes = True  # when this instance ends, nobody else serves where it did
         self._quiet = 0
-        self._stood = 0.0  # seconds that the loop stood still at the worst, since the state was last written
+        self._stood = 0.0  # seconds that the loop stood still at the worst, since it was last recorded
         self._queries: asyncio.Server | None = None
         self._adopting = asyncio.Lock()  # a reload and settings from a source take turns
         self._settings: dict[str, bytes] = {}  # in force, by key
@@ -360,24 +360,28 @@
         while True:
             every = self._file.records.every_ms / 1e3 if self._file.records is not None else 1.0
             await asyncio.sleep(every)
-            self._write_counts(False)
+            is_recorded = self._write_counts(False)
             self._write_state()
-            self._stood = 0.0
+            if is_recorded or self._writer is None:
+                self._stood = 0.0
 
-    def _write_counts(self, last: bool) -> None:
+    def _write_counts(self, last: bool) -> bool:
+        """Record what was counted; false where nothing was, and it is left for the next time."""
         names = self.node.deployment.places
         classes, plans = ({number: name for name, number in places.items()} for places in names)
         content = self._tally.read(classes, plans)
         self._quiet = 0 if content else self._quiet + 1
-        if content or self._quiet >= QUIET_SPANS or last:
-            self._quiet = 0
-            owed, connections = self.node.engine.owed(), self.node.connections
-            counts = {"counts": [], "causes": {}, **content, "owed": owed, "connections": connections}
-            counts["stood_ms"] = round(self._stood * 1e3)
-            counts["internal_errors"] = internal_errors.count
-            if self.node.cover is not None:
-                counts["work"] = self.node.cover.since()
-            self._record("counts", counts)
+        if not (content or self._quiet >= QUIET_SPANS or last):
+            return False
+        self._quiet = 0
+        owed, connections = self.node.engine.owed(), self.node.connections
+        counts = {"counts": [], "causes": {}, **content, "owed": owed, "connections": connections}
+        counts["stood_ms"] = round(self._stood * 1e3)
+        counts["internal_errors"] = internal_errors.count
+        if self.node.cover is not None:
+            counts["work"] = self.node.cover.since()
+        self._record("counts", counts)
+        return True
 
     async def _show_life(self, every: float) -> None:
         while True:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,10 @@
-"""Which tests run alone, and which are known to fail."""
+"""Which tests run alone, which are known to fail, and what a failure tells besides."""
+
+from collections.abc import Generator
 
 import pytest
 
+from tests import stand_still
 from tests.known_red import read_known_red
 from tests.process_logs import no_internal_errors
 
@@ -23,3 +26,17 @@
             item.add_marker("whole_machine")
         if (entry := known.get(item.nodeid)) is not None:
             item.add_marker(pytest.mark.xfail(reason=entry.reason, strict=False))
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(
+    item: pytest.Item, call: pytest.CallInfo[None]
+) -> Generator[None, pytest.TestReport, pytest.TestReport]:
+    """A failure names how long the test's own process and each gateway stood still at the worst."""
+    report = yield
+    if call.when == "setup":
+        stand_still.reset()
+    if call.when == "call" and call.excinfo is not None:
+        folder = getattr(item, "funcargs", {}).get("tmp_path")
+        report.sections.append(("stood still at the worst", stand_still.told(folder)))
+    return report
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -10,13 +10,19 @@
 
 from lynxreel.local.deployment import Deployment, Gateway
 from lynxreel.protocol.resp import pack
+from tests.stand_still import watched
 
 BROKEN = ("lost", "duplicated", "late", "ran_twice")
 
 
 def run(scenario: Callable[[], Coroutine[Any, Any, None]], seconds: float = 60.0) -> None:
     """Play a scenario; a hang fails it."""
-    uvloop.run(asyncio.wait_for(scenario(), seconds))
+
+    async def play() -> None:
+        with watched():
+            await asyncio.wait_for(scenario(), seconds)
+
+    uvloop.run(play())
 
 
 @asynccontextmanager
