A second reading of a count that fails is made again, and the counter is trusted again

What callers saw: after a total that contradicted what was known, a gateway went on as with a counter in doubt for as long as the customer's window lives (up to 60 s), where one answer came too late.

Cause: the name is read again once the marker is proved; where that reading ended without a total, nothing asked again, and `asked` stayed set, so `_mended` never let SUSPECT end.

Change: a second reading that fails is noted again, and made with the next beat. The new test failed before (the second reading was never made).

--- a/lynxreel/metering/trust.py
+++ b/lynxreel/metering/trust.py
@@ -232,6 +232,8 @@
         known = self._names[name]
         if result is Result.OK:
             return actions + self._total(now, name, known, call, total)
+        if call.ours and not call.amount and known.asked >= 0:
+            self._doubtful.add(name)  # the second reading failed: again with the next beat
         if not result.never_ran:
             known.doubt += abs(call.amount)
             known.missing -= call.amount if call.ours else 0.0
--- a/tests/test_trust.py
+++ b/tests/test_trust.py
@@ -40,6 +40,7 @@
         self.lag = 0  # totals are those of so long ago
         self.lie: float | None = None  # the next total
         self.away = False
+        self.unread = 0  # readings of names whose answers never come
         self.heard: list[list[Pass]] = [[] for _ in range(count)]
         self.states: list[list[State]] = [[] for _ in range(count)]
 
@@ -56,6 +57,8 @@
     def _answer(self, gateway: int, call: Call) -> None:
         if self.away:
             result, total = Result.CONNECT_FAILED, 0.0
+        elif self.unread and not call.amount and call.name < MARKERS:
+            result, total, self.unread = Result.TIMEOUT, 0.0, self.unread - 1
         else:
             counter = self.counters[gateway]
             result, total = Result.OK, counter.add(self.now, call.name, call.amount)
@@ -255,6 +258,20 @@
     assert fleet.trusts[0].losses == 0
 
 
+def test_a_second_reading_that_fails_is_made_again_and_the_counter_is_trusted() -> None:
+    """Guards against a counter that stays suspect for a name's whole life as one answer came too late."""
+    fleet = Fleet()
+    fleet.wait(3 * SECOND)
+    fleet.add(0, 9.0)
+    fleet.lie, fleet.unread = 1.0, 2
+    fleet.add(0, 2.0)
+    assert fleet.states == [[State.SUSPECT]]
+    fleet.wait(4 * BEAT)
+    assert fleet.unread == 0
+    assert fleet.states == [[State.SUSPECT, State.TRUSTED]]
+    assert fleet.counters[0].totals[NAME] == 11.0
+
+
 def test_a_name_that_was_evicted_alone_gets_back_what_was_in_it() -> None:
     fleet = Fleet(1)
     fleet.wait(3 * SECOND)
