--- a/lynxreel/standins/interleavings.py
+++ b/lynxreel/standins/interleavings.py
@@ -23,27 +23,13 @@
 
 from lynxreel.links.peers import Dead, Peer, Peers, State
 from lynxreel.links.rank import Ranks
+from lynxreel.takeover.actions import Action, Ask, Begin, Carry, Give, Go, Leave, Say, Stay
+from lynxreel.takeover.entries import Asked, Kept, Own, Sought
 from lynxreel.takeover.grants import _Grant
 from lynxreel.takeover.messages import Answer, How, Message, Record
 from lynxreel.takeover.rights import Pair, _Given, _Held
-from lynxreel.takeover.work import (
-    Action,
-    Ask,
-    Asked,
-    Begin,
-    Carry,
-    Class,
-    Give,
-    Go,
-    Kept,
-    Leave,
-    Own,
-    Say,
-    Sought,
-    Stay,
-    Terms,
-    Work,
-)
+from lynxreel.takeover.terms import Class, Terms
+from lynxreel.takeover.work import Work
 from mothgap.interface import Effect
 
 NAMES = ("a", "b", "c")
--- a/lynxreel/takeover/cover.py
+++ b/lynxreel/takeover/cover.py
@@ -13,10 +13,11 @@
 from lynxreel.links.peers import News
 from lynxreel.links.rank import Ranks
 from lynxreel.log import log
-from lynxreel.takeover import work as core
+from lynxreel.takeover.actions import Action, Ask, Begin, Carry, Give, Go, Leave, Passed, Say, Stay
 from lynxreel.takeover.calls import Covered, tell
 from lynxreel.takeover.messages import KINDS, Answer, How, Record
-from lynxreel.takeover.work import Ask, Begin, Carry, Class, Give, Go, Leave, Passed, Say, Stay, Terms, Work
+from lynxreel.takeover.terms import Class, Terms
+from lynxreel.takeover.work import Work
 from mothgap.interface import Effect, Result, Settings
 
 if TYPE_CHECKING:
@@ -305,7 +306,7 @@
 
     # --- what is to be done -----------------------------------------------------------------------------
 
-    def _act(self, actions: list[core.Action], at_hand: tuple[int, bytes | Stream] | None = None) -> None:
+    def _act(self, actions: list[Action], at_hand: tuple[int, bytes | Stream] | None = None) -> None:
         """`at_hand`: a client and its value as it came, of which its answer may hold less."""
         for action in actions:
             match action:
--- a/lynxreel/takeover/work.py
+++ b/lynxreel/takeover/work.py
@@ -20,12 +20,22 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Mapping
-from dataclasses import dataclass, field
-from typing import TypeAlias
 
 from lynxreel.links.peers import Dead, Lost, Peers, State, Up
 from lynxreel.links.rank import Ranks
+from lynxreel.takeover.actions import (
+    Action,
+    Ask,
+    Begin,
+    Carry,
+    Give,
+    Go,
+    Leave,
+    Passed,
+    Say,
+    Stay,
+)
+from lynxreel.takeover.entries import Asked, Kept, Own, Sought, Waiter
 from lynxreel.takeover.grants import Grants, Silence
 from lynxreel.takeover.messages import (
     NONE,
@@ -47,6 +57,7 @@
     Want,
 )
 from lynxreel.takeover.rights import BEATS, Beat, Echo, Pair, Rights, Standing
+from lynxreel.takeover.terms import Class, Terms
 from mothgap.interface import Effect
 
 ROUNDS = 2  # times that all are asked before nobody is held to have it: news of it may be on its way
@@ -54,183 +65,6 @@
 REPEAT = 100_000  # microseconds after which a Want is said again
 ANSWER = -1  # in place of an attempt: the answer itself is noted
 MARGIN = 250_000  # microseconds by which a repeat under a key must be ahead of the boxes' forgetting
-Waiter: TypeAlias = "int | tuple[str, int]"  # a client here by its token, or an instance and its token
-
-
-@dataclass(frozen=True, slots=True)
-class Class:
-    """What is to be known of a class of requests."""
-
-    effect: Effect
-    key_memory: int = 0  # microseconds for which boxes drop repeats under a key
-
-
-@dataclass(frozen=True, slots=True)
-class Terms:
-    """What an instance goes by. Times are microseconds."""
-
-    name: str
-    classes: Mapping[str, Class]
-    entries: int = 20_000  # copies kept
-    size: int = 32 << 20  # bytes of them
-    wait: int = 20_000  # for which an attempt waits for its intent to be noted
-    silence: int = 200_000  # for which a peer's word is waited for: it may live, and stand still for 0.15 s
-    keep: int = 15_000_000  # for which answers are kept after a request's time
-    sure: bool = True  # `once` waits for its intent; else a copy of it counts as sent from the start
-    lease: int = 0  # for which a keeper gives the right to act; 0: only the dead are followed
-    drift: float = 0.01  # by which clocks may run apart
-    copies: bool = False  # two attempts of a request may be out together
-    incarnation: int = 1
-
-
-# --- actions --------------------------------------------------------------------------------------------
-
-
-@dataclass(frozen=True, slots=True)
-class Say:
-    """Tell another instance."""
-
-    to: str
-    message: Message
-    idle: bool = False  # nobody waits for it
-
-
-@dataclass(frozen=True, slots=True)
-class Go:
-    """The attempt may be made."""
-
-    id: bytes
-    attempt: int
-
-
-@dataclass(frozen=True, slots=True)
-class Stay:
-    """The attempt must not be made: it has never run."""
-
-    id: bytes
-    attempt: int
-
-
-@dataclass(frozen=True, slots=True)
-class Carry:
-    """This instance is the owner now: go on with the request through the decision module."""
-
-    record: Record
-    left: int
-    counted: bool  # its units are on the counter
-    sent: bool  # and taken from its first owner's part of the ceiling
-
-
-@dataclass(frozen=True, slots=True)
-class Give:
-    """A client that waits here gets its answer."""
-
-    token: int
-    answer: Answer
-
-
-@dataclass(frozen=True, slots=True)
-class Begin:
-    """Nobody was found to have what this client may have asked for before: it is a new request."""
-
-    token: int
-
-
-@dataclass(frozen=True, slots=True)
-class Leave:
-    """Nobody here wants it any more. `moved`: another instance has it, with the units that it took."""
-
-    id: bytes
-    moved: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Passed:
-    """For the operators: a request has passed to this instance, or from this one to another."""
-
-    id: bytes
-    cls: str
-    here: bool
-    other: str  # whose it was, if it is here now
-    how: str  # what became of it then
-
-
-@dataclass(frozen=True, slots=True)
-class Ask:
-    """Write this instance's word about these copies, unless there is one; `word` follows."""
-
-    pair: Pair
-    owner: bool  # as the owner; else as the keeper
-
-
-Action: TypeAlias = Say | Go | Stay | Carry | Give | Begin | Leave | Passed | Ask
-
-
-# --- state ----------------------------------------------------------------------------------------------
-
-
-@dataclass(slots=True)
-class Own:
-    """A request of which this instance is the owner."""
-
-    record: Record
-    epoch: int
-    until: int
-    counted: bool
-    waiters: list[Waiter]
-    keeper: str | None = None
-    at: int = 0  # the keeper's incarnation
-    why: str = ""  # why it has no keeper
-    full: set[str] = field(default_factory=set)  # keepers that had no room
-    ran: dict[int, int] = field(default_factory=dict)  # attempts that may have run, and since when
-    earlier: int | None = None  # since when one of an owner before this one may have run
-    holding: dict[int, str] = field(default_factory=dict)  # attempts that wait for their intent; their boxes
-    noted: set[int] = field(default_factory=set)  # of these, the ones whose intent its keeper has noted
-    waits: dict[int, int] = field(default_factory=dict)  # attempts, and when nobody waits for them any more
-    answer: Answer | None = None
-    parked: Answer | None = None  # the answer, while this instance may not give it
-    refusing: bool = False  # the answer waits for the keeper to know it
-    taken: int = 0  # the epoch of another owner, which was found out
-
-
-@dataclass(slots=True)
-class Kept:
-    """A copy of another owner's request."""
-
-    record: Record
-    epoch: int
-    owner: str
-    at: int  # the owner's incarnation
-    session: int
-    until: int
-    counted: bool
-    sent: int | None  # since when an attempt may have run
-    answer: Answer | None
-    size: int
-    out: int = 0  # until when an attempt may be out
-    waiters: list[Waiter] = field(default_factory=list)
-
-
-@dataclass(slots=True)
-class Asked:
-    """A client that has come back, or may have, for what is not held here."""
-
-    id: bytes
-    customer: int
-    effect: Effect
-    waiting: dict[str, bool]  # who is asked, and whether its word is awaited
-    round: int = 0
-    again: int = 0  # when to ask again
-    paused: bool = False  # until then nobody is asked
-    mark: bytes = b""
-
-
-@dataclass(slots=True)
-class Sought(Asked):
-    """A request under a key that its client may have used before: begun where nobody holds it."""
-
-    patience: dict[str, int] = field(default_factory=dict)  # until when the word of each is waited for
-    pending: set[str] = field(default_factory=set)  # those at which it is under way
 
 
 class Work:
--- a/tests/test_takeover_orders.py
+++ b/tests/test_takeover_orders.py
@@ -22,10 +22,12 @@
     world,
 )
 from lynxreel.takeover import work as core
+from lynxreel.takeover.actions import Carry
+from lynxreel.takeover.entries import Own
 from lynxreel.takeover.grants import Grants
 from lynxreel.takeover.messages import NONE, How, Record
 from lynxreel.takeover.rights import Rights, Standing
-from lynxreel.takeover.work import Own, Work
+from lynxreel.takeover.work import Work
 
 DEATHS = Budget(lost=1, doubled=1, deaths=2, restarts=1)
 STOPS = Budget(deaths=1, stops=1, ticks=12)
@@ -132,7 +134,7 @@
 
 
 def units_forgotten(patch: pytest.MonkeyPatch) -> None:
-    class Forgetful(core.Carry):
+    class Forgetful(Carry):
         def __init__(self, record: Record, left: int, counted: bool, sent: bool) -> None:
             super().__init__(record, left, False, sent)
 
