Restarts after a stepped clock: the state folder remembers the machine's clock

Cause: windows on a counter without a clock are named by the wall clock as it stands at a start. Change: the distance between the wall clock and the boot clock, with the boot's id, is kept in the state folder; a start on the same boot that finds it off by 0.5 s or more goes on by the clock of before, says so in the log, and names the file to remove where the new time is the right one. Workers share their supervisor's file. Torn files, full disks, another boot and a machine without a boot id: the wall clock, as before.

--- a/lynxreel/daemon/serve.py
+++ b/lynxreel/daemon/serve.py
@@ -21,6 +21,7 @@
 from lynxreel.config.model import OperatorFile
 from lynxreel.config.overlay import overlay
 from lynxreel.config.read import ConfigError, read
+from lynxreel.daemon.clock_memory import remembered_clock
 from lynxreel.daemon.codes import ADDRESS, ADDRESS_TAKEN, BAD_CONFIG, INNER_FAULT, OK, PLACE_TAKEN
 from lynxreel.daemon.instance import Instance
 from lynxreel.daemon.lifecycle import Ask, Do, Life, ShutdownTimes, State
@@ -72,7 +73,9 @@
 
             doors = shared = SharedDoors(post, self.loop)
             self._leash = Leash(post, shared, self.loop, self._door, self._leaving, self._orphaned)
-        self.node = Node(deployment, secrets.randbits(64), None, self.loop, doors=doors)
+        # Workers go by one clock: it lies in the folder of their supervisor.
+        clock = remembered_clock(place.folder if post is None else place.folder.parent)
+        self.node = Node(deployment, secrets.randbits(64), None, self.loop, clock, doors)
         if post is not None:
             shared.count = lambda: self.node.connections
             self.node.hold(False)  # until its door opens: another one may hold it still
