Starts by the fleet's clock: gateways ask each other for the time at their start

Callers saw: a second quota through a gateway of the platform's program that was started after its machine's wall clock had been stepped (198 of 102 units served by two gateways, step of an hour or 47 s, forward and back), and servers could be taken for warm that had just started. Cause: windows of quotas and ages of servers are told by the wall clock as it stands at the start; nothing in the program compared it with anyone's. Starts of servers are told by that clock too: one may turn out younger than it seemed, never older. Not mended: half of a large fleet stepped and started together; a fleet whose settings allow no messages.

--- a/lynxreel/__main__.py
+++ b/lynxreel/__main__.py
@@ -6,6 +6,7 @@
 import dataclasses
 import json
 import os
+import random
 import signal
 import sys
 from typing import Any
@@ -18,6 +19,7 @@
 from lynxreel.fronts.resp2 import HALF_READ
 from lynxreel.log import log
 from lynxreel.node import Deployment, Node, PeerPlan
+from lynxreel.peers.clock import FleetClock
 from lynxreel.protocol.address import Address, read_address
 from lynxreel.sources.platform import read_list
 from mothgap.interface import ListKind
@@ -84,27 +86,46 @@
     def __init__(self, config: dict[str, Any], loop: asyncio.AbstractEventLoop) -> None:
         given = inherited("EDGE_LISTEN_FD")
         self._shared = given is not None  # others may accept there, before this process and after it
-        deployment = read_deployment(config, self._shared)
+        self._deployment = deployment = read_deployment(config, self._shared)
         longest = max(cls.deadline for cls in deployment.settings.classes) / 1e6
         super().__init__(Life(shutdown_times(longest, self._shared)), loop)
         self._operator = read_operator(config)
-        known = read_list(config["known"], deployment.names, ListKind.CACHED)
-        doors = OwnDoors(loop, {deployment.listen[0]: given} if given is not None else {})
-        self.node = Node(deployment, int(config["seed"], 16), known, loop, doors=doors)
-        if self._shared:
-            self.node.hold(False)  # until it is ready: the process before it holds this gateway's share
+        self._seed = int(config["seed"], 16)
+        self._known = read_list(config["known"], deployment.names, ListKind.CACHED)
+        self._doors = OwnDoors(loop, {deployment.listen[0]: given} if given is not None else {})
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
         for number, ask in SIGNALS.items():
             self.loop.add_signal_handler(number, self.ask, ask)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        self.node = await self._make_node()
         if self._operator is not None:
             await self.take_calls(self._operator)
         await self.live(self._start())
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # from here on there is nothing to move
         self.node.close()
 
+    async def _make_node(self) -> Node:
+        """The gateway's parts, by the clock of the fleet. Raises an OSError where an address is taken."""
+        clock = await self._ask_fleet()
+        node = Node(self._deployment, self._seed, self._known, self.loop, None, self._doors, clock)
+        if self._shared:
+            node.hold(False)  # until it is ready: the process before it holds this gateway's share
+        return node
+
+    async def _ask_fleet(self) -> FleetClock | None:
+        """The fleet's clock by the word of other gateways, where this one may speak to them."""
+        plan, peers = self._deployment.peers, self._deployment.make_peers(self.loop)
+        if plan is None or peers is None:
+            return None
+        await peers.open(plan.listen, plan.beside)
+        index, chance = self._deployment.settings.index, random.Random(self._seed)
+        clock = FleetClock(peers, index, len(plan.addresses), chance)
+        peers.post = clock.take
+        await clock.begin()
+        return clock
+
     async def _start(self) -> None:
         await self.node.start()
         if self._shared:
--- a/lynxreel/node.py
+++ b/lynxreel/node.py
@@ -19,12 +19,13 @@
 from lynxreel.fronts.listeners import Doors, OwnDoors
 from lynxreel.fronts.resp2 import Clients, Terms
 from lynxreel.log import log
+from lynxreel.peers.clock import FleetClock
 from lynxreel.peers.datagrams import Peers
 from lynxreel.protocol.address import Address
 from lynxreel.relay.budget import Budget
 from lynxreel.sources.freshness import Terms as ListTerms
 from lynxreel.sources.platform import NOWHERE, Discovery
-from mothgap.interface import ClockShift, ListKind, Member, Members, Settings, State
+from mothgap.interface import ClockShift, ListKind, Member, Members, PeerMessage, Settings, State
 from mothgap.settings import Names
 
 if TYPE_CHECKING:
@@ -80,6 +81,12 @@
     takeover: TakeoverPlan | None = None  # with links: other instances keep copies of work in hand
     zones: ZonesPlan | None = None  # with links: a zone that fails is left by all together
 
+    def make_peers(self, loop: asyncio.AbstractEventLoop) -> Peers | None:
+        """This gateway's place among the others, not open yet; None where it may not speak to them."""
+        if self.peers is None:
+            return None
+        return Peers(self.peers.addresses, self.settings.index, lambda message: None, loop)
+
 
 class Node:
     """The parts, from their start to their end. It reads no file and knows no signal."""
@@ -92,10 +99,16 @@
         loop: asyncio.AbstractEventLoop,
         clock: Clock | None = None,
         doors: Doors | None = None,
+        fleet_clock: FleetClock | None = None,
     ) -> None:
-        """`doors`: where the fronts' listeners come from; they open them by themselves by default."""
+        """`doors`: where the fronts' listeners come from; they open them by themselves by default.
+
+        `fleet_clock`: what asks the other gateways for the time; its clock is then this one's.
+        """
         self.deployment, self._loop = deployment, loop
         self._chance = random.Random(seed)
+        if fleet_clock is not None:
+            clock = fleet_clock.clock
         self.engine = Engine(deployment.settings, seed, loop, clock)
         servers, clients = self._parts(deployment.sockets)
         settings, names = deployment.settings, deployment.names
@@ -126,10 +139,10 @@
         if deployment.http is not None:  # its connections are as many again: docs/openapi.md
             back = deployment.takeover is not None
             self.web = deployment.http.front(desk, clients // 2, loop, doors, back)
-        self.peers: Peers | None = None
-        if deployment.peers is not None:
-            addresses, index = deployment.peers.addresses, settings.index
-            self.peers = self.engine.peers = Peers(addresses, index, self.engine.post, loop)
+        self.peers = fleet_clock.peers if fleet_clock is not None else deployment.make_peers(loop)
+        self._fleet_clock = fleet_clock
+        if self.peers is not None:
+            self.engine.peers, self.peers.post = self.peers, self._peer_said
         self.shutdown: ShutdownReport | None = None  # once the process is to end
         self._told = False  # the engine has heard of servers
         self._held = True  # its share, or nothing
@@ -142,6 +155,11 @@
         self._listening = False
         self._binding = asyncio.Lock()  # a start and a change of the listeners must not cross
 
+    def _peer_said(self, message: PeerMessage) -> None:
+        """What another gateway says."""
+        if self._fleet_clock is None or not self._fleet_clock.take(message):
+            self.engine.post(message)
+
     @staticmethod
     def _terms(deployment: Deployment) -> Terms:
         back = deployment.takeover is not None
@@ -233,7 +251,7 @@
             self.guard.start()
 
     def _shift(self, offset: int) -> None:
-        """The counter's own clock is the one that all gateways share."""
+        """The clock that all gateways share, the counter's own or the fleet's, is so far ahead."""
         self.engine.post(ClockShift(offset))
 
     def _guard(self, deployment: Deployment, time_limit: int) -> Guarded:
@@ -262,6 +280,8 @@
         """Hear and be heard by the other instances. Raises an OSError where an address is taken."""
         if self.peers is not None and self.deployment.peers is not None:
             await self.peers.open(self.deployment.peers.listen, self.deployment.peers.beside)
+        if self._fleet_clock is not None:
+            self._fleet_clock.follow(self._shift)
         if self.mesh is not None:
             await self.mesh.open()
         if self.zones is not None:
@@ -431,6 +451,8 @@
             self.web.close()
         if self.guard is not None:
             self.guard.close()
+        if self._fleet_clock is not None:
+            self._fleet_clock.close()
         if self.peers is not None:
             self.peers.close()
         if self.counter is not None:
--- a/lynxreel/peers/datagrams.py
+++ b/lynxreel/peers/datagrams.py
@@ -24,11 +24,12 @@
         self,
         addresses: Sequence[Address],
         index: int,
-        post: Callable[[PeerMessage], None],
+        post: Callable[[PeerMessage], object],
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         """`post` takes what other gateways say; `index` is this one's own number."""
-        self._addresses, self._index, self._post, self._loop = tuple(addresses), index, post, loop
+        self._addresses, self._index, self._loop = tuple(addresses), index, loop
+        self.post = post
         self._numbers = {address: n for n, address in enumerate(self._addresses) if n != index}
         self._transport: asyncio.DatagramTransport | None = None
         self._second, self._heard = 0, 0
@@ -36,11 +37,13 @@
         self.dropped = {"stranger": 0, "too long": 0, "too many": 0, "not sent": 0}  # datagrams, by cause
 
     async def open(self, listen: Address, beside: bool = False) -> None:
-        """Listen. Raises an OSError where the address is taken.
+        """Listen, unless it is done already. Raises an OSError where the address is taken.
 
         `beside`: also where an older process of this gateway does. The system brings datagrams to the one
         that was bound last.
         """
+        if self._transport is not None:
+            return
         own = await while_short(lambda: self._bound(listen, beside))
         await self._loop.create_datagram_endpoint(lambda: self, sock=own)
 
@@ -74,7 +77,7 @@
             self.dropped["too many"] += 1
         else:
             self._heard += 1
-            self._post(PeerMessage(sender, data))
+            self.post(PeerMessage(sender, data))
 
     def error_received(self, error: Exception) -> None:
         """The other end is not there: it is heard of again when it speaks."""
--- a/mothgap/interface.py
+++ b/mothgap/interface.py
@@ -326,7 +326,8 @@
 
 @dataclass(frozen=True, slots=True)
 class ClockShift:
-    """How far the clock that all gateways share is ahead of this one's; counts are named by that.
+    """How far the clock that all gateways share is ahead of this one's; counts are named by that, and starts
+    of servers are told by it.
 
     Where no such event comes, this gateway's own clock is the shared one.
     """
--- a/mothgap/rules.py
+++ b/mothgap/rules.py
@@ -196,6 +196,8 @@
                 self._on_peer(event)
             case ClockShift():
                 self._shift = event.offset
+                for server in self._servers.values():
+                    server.told_by(self._now, self._shift)
             case Share():
                 self._on_share(event.part)
             case ZoneParts():
@@ -1118,13 +1120,13 @@
             elif line.server in self._servers:
                 server = self._servers[line.server]
                 if line.started_at != server.line.started_at:
-                    server.restarted(line, self._now)
+                    server.restarted(line, self._now, self._shift)
                     server.cold_left, server.cold_at = self._random.random(), self._now
                 server.line = line
             else:
                 limit = self._pooled or AttemptLimit(LIMIT_START / self._s.fleet_size, self._now)
                 kind = self._kinds.setdefault(line.kind, ServerKind(self._now))
-                server = self._servers[line.server] = Server(line, self._now, limit, kind)
+                server = self._servers[line.server] = Server(line, self._now, limit, kind, self._shift)
                 # Chance, not nothing: of hundreds of gateways, each with a small share, some send at once.
                 server.cold_left = self._random.random()
             if line.state is not State.GONE and event.kind is not ListKind.CACHED:
--- a/mothgap/state.py
+++ b/mothgap/state.py
@@ -114,6 +114,11 @@
         return self.rate * math.exp((self.at - now) / MEAN_SPAN)
 
 
+def _started(line: Member, now: int, shift: int) -> int:
+    """When a server started, on this gateway's clock; 0: long past. It can't lie in the future."""
+    return min(max(1, line.started_at - shift), now) if line.started_at else 0
+
+
 class Server:
     """What this gateway knows of one server."""
 
@@ -121,10 +126,11 @@
                  "kind", "limit", "line", "listed_at", "load", "load_at", "out", "pace", "refused", "seen",
                  "started", "trial")  # fmt: skip
 
-    def __init__(self, line: Member, now: int, limit: AttemptLimit, kind: ServerKind) -> None:
+    def __init__(self, line: Member, now: int, limit: AttemptLimit, kind: ServerKind, shift: int = 0) -> None:
+        """`shift`: how far the clock that starts are told by is ahead of this gateway's."""
         self.line, self.limit, self.kind = line, limit, kind
         self.listed_at: int | None = None  # when its line was last told as it stood then; None: perhaps stale
-        self.started = min(line.started_at, now)  # on this gateway's clock; 0: long past
+        self.started = _started(line, now, shift)  # on this gateway's clock; 0: long past
         self.ghosts: list[int] = []  # when attempts were sent that were given up, but may still wait there
         self.out: dict[tuple[int, int], int] = {}  # (request, attempt) -> sent at
         self.pace, self.seen = 1.0, 0  # answer time against the usual of the class, and answers behind it
@@ -136,7 +142,7 @@
         self.load, self.load_at = 0.0, now
         self.cold_left, self.cold_at = 0.0, now
 
-    def restarted(self, line: Member, now: int) -> None:
+    def restarted(self, line: Member, now: int, shift: int = 0) -> None:
         """It has started again: nothing that was seen of it holds any more.
 
         The list tells the start by another machine's wall clock, which may have been stepped, as may have
@@ -145,10 +151,14 @@
         """
         self.aside, self.errors, self.pace, self.seen = False, 0.0, 1.0, 0
         self.ghosts = []
-        self.started = min(line.started_at, now)
-        if self.listed_at is not None and 0 < line.started_at < self.listed_at - CLOCKS_AGREE:
+        self.started = _started(line, now, shift)
+        if self.listed_at is not None and 0 < self.started < self.listed_at - CLOCKS_AGREE:
             self.started = now
 
+    def told_by(self, now: int, shift: int) -> None:
+        """The clock that starts are told by is known anew: it may be younger than it seemed, never older."""
+        self.started = max(self.started, _started(self.line, now, shift))
+
     def held(self, since: int) -> int:
         """Attempts that are out, or given up but perhaps still there if sent later than `since`."""
         return len(self.out) + (sum(ghost > since for ghost in self.ghosts) if self.ghosts else 0)
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from mothgap.interface import Action, Limits, ListKind, Members, Plan, Send, Settings, State
+from mothgap.interface import Action, ClockShift, Limits, ListKind, Members, Plan, Send, Settings, State
 from mothgap.view import use
 from tests.gateways import Gateways
 from tests.helpers import SECOND, SETTINGS, Driver, line
@@ -132,3 +132,33 @@
     warm = bears(driver)
     driver.members(line(1, started_at=driver.now - 600 * SECOND))
     assert bears(driver) == warm
+
+
+@pytest.mark.parametrize("listed_first", [True, False])
+@pytest.mark.parametrize("offset", [-3_600, 3_600])
+def test_a_cold_server_is_known_by_the_clock_that_gateways_share(offset: int, listed_first: bool) -> None:
+    """Guards cold servers against a gateway that began by a stepped clock, and then learnt the fleet's."""
+    driver = Driver(servers=0)
+    span = driver.settings.safety.cold_span
+    driver.members(line(1), kind=ListKind.FULL)
+    warm = bears(driver)
+    driver = Driver(servers=0)
+    began = line(1, started_at=driver.now + offset * SECOND - 2 * SECOND)
+    if listed_first:
+        driver.members(began, kind=ListKind.FULL)
+    driver.feed(ClockShift(offset * SECOND))
+    if not listed_first:
+        driver.members(began, kind=ListKind.FULL)
+    assert bears(driver) < warm
+    driver.now += span - 3 * SECOND
+    assert bears(driver) < warm
+    driver.now += 4 * SECOND
+    assert bears(driver) == warm
+
+
+def test_a_server_that_has_been_up_for_long_stays_warm_whatever_the_shared_clock_says() -> None:
+    driver = Driver(servers=0)
+    driver.members(line(1), kind=ListKind.FULL)
+    warm = bears(driver)
+    driver.feed(ClockShift(-3_600 * SECOND))
+    assert bears(driver) == warm
