An owner stopped before its first byte: a play in which the test was late is played anew

What was seen: "done r1" twice where UNKNOWN twice is wanted, once beside three busy loops (listed). Cause: the test's, not the program's. It polls for a stage, and then has 90 ms to stop the process. Blocking the test's whole process for 0.15 s changes nothing, as it carries the keepers' words too. Change: the checks stay as they are; a play in which the request had come to its box before the owner stood still did not cause the case and is played anew, up to five times. An owner that never waited for its keepers would fail: with a pause of 0.2 s in every play the test does, with one in the first two plays it passes.

--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -78,35 +78,55 @@
     run(scenario)
 
 
+PLAYS = 5  # in which to stop a process within the 90 ms that its keepers' words are on their way
+
+
 @pytest.mark.parametrize("stopped", [0.2, 1.0, 10.0])
 def test_an_owner_stopped_between_its_intent_and_its_first_byte(tmp_path: Path, stopped: float) -> None:
-    """Within its lease it goes on; later it sends nothing, and both clients hear that its end is unknown."""
+    """Within its lease it goes on; later it sends nothing, and both clients hear that its end is unknown.
+
+    Where this process was late, and the request had come to its box before the owner stood still, the case
+    was not caused: it is played anew. An owner that does not wait for its keepers is never stopped in time.
+    """
 
     async def scenario() -> None:
-        async with wired(tmp_path, lease=600) as (deployment, cluster):
-            await ready(deployment)
-            deployment.wire_faults.on(Fault(Kind.SLOW, target="g1>g0", delay=0.09))  # its keepers' words
-            deployment.wire_faults.on(Fault(Kind.SLOW, target="g2>g0", delay=0.09))
-            callers = [await Caller.to(gateway) for gateway in deployment.gateways]
-            call = [*COMMIT[:3], COMMIT[3].replace("d=7000", "d=7400"), "body"]
-            callers[0].command(*call)
-            while not any(row["stage"] == "about to be sent" for row in (await hand(deployment, 0))):
-                await asyncio.sleep(0)
-            deployment.gateways[0].process.send_signal(signal.SIGSTOP)
-            callers[1].command(*back(call))
-            await asyncio.sleep(stopped)
-            deployment.gateways[0].process.send_signal(signal.SIGCONT)
-            answers = [await callers[0].answer(), await callers[1].answer()]
-            await asyncio.sleep(0.3)
-            if stopped < 0.6:
-                assert answers == [b"done r1"] * 2 and came(deployment) == 1
-            else:
-                assert [answer[:8] for answer in answers] == [b"-UNKNOWN"] * 2 and came(deployment) == 0
-            assert added(deployment, 77) == 2.0
+        for play in range(PLAYS):
+            if await stopped_before_its_first_byte(tmp_path / f"play{play}", stopped):
+                return
+        raise AssertionError(f"in {PLAYS} plays the request came to its box before the owner stood still")
 
     run(scenario)
 
 
+async def stopped_before_its_first_byte(folder: Path, stopped: float) -> bool:
+    """Play it once; whether the owner was stopped in time."""
+    folder.mkdir()
+    async with wired(folder, lease=600) as (deployment, cluster):
+        await ready(deployment)
+        deployment.wire_faults.on(Fault(Kind.SLOW, target="g1>g0", delay=0.09))  # its keepers' words
+        deployment.wire_faults.on(Fault(Kind.SLOW, target="g2>g0", delay=0.09))
+        callers = [await Caller.to(gateway) for gateway in deployment.gateways]
+        call = [*COMMIT[:3], COMMIT[3].replace("d=7000", "d=7400"), "body"]
+        callers[0].command(*call)
+        while not any(row["stage"] == "about to be sent" for row in (await hand(deployment, 0))):
+            await asyncio.sleep(0)
+        deployment.gateways[0].process.send_signal(signal.SIGSTOP)
+        callers[1].command(*back(call))
+        await asyncio.sleep(stopped / 2)
+        if came(deployment):
+            return False
+        await asyncio.sleep(stopped / 2)
+        deployment.gateways[0].process.send_signal(signal.SIGCONT)
+        answers = [await callers[0].answer(), await callers[1].answer()]
+        await asyncio.sleep(0.3)
+        if stopped < 0.6:
+            assert answers == [b"done r1"] * 2 and came(deployment) == 1
+        else:
+            assert [answer[:8] for answer in answers] == [b"-UNKNOWN"] * 2 and came(deployment) == 0
+        assert added(deployment, 77) == 2.0
+        return True
+
+
 def test_an_owner_whose_keeper_is_stopped_goes_on_with_another_one(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with wired(tmp_path) as (deployment, cluster):
