An upgrade's share of ceilings: the test follows the node to where it is made now

The test told "made" by a variable that it set in between. Now it tells it by the node not being there yet: the share is handed back before anything else has the node, as before. Without that line of the program the test fails.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -113,19 +113,17 @@
     own: program.Program
 
     def hold(node: Node, share: bool) -> None:
-        held.append((share, own.life.state.value if node_is_made else "made"))
+        held.append((share, own.life.state.value if hasattr(own, "node") else "made"))
 
     monkeypatch.setattr(Node, "hold", hold)
-    node_is_made = False
 
     async def scenario() -> None:
-        nonlocal own, node_is_made
+        nonlocal own
         with socket.create_server((LOCAL, 0)) as platforms, socket.create_server((LOCAL, 0)) as silent:
             monkeypatch.setenv("EDGE_LISTEN_FD", str(os.dup(platforms.fileno())))
             port = silent.getsockname()[1]
             given = config(port, port, platforms.getsockname()[1])
             own = program.Program(given, asyncio.get_running_loop())
-            node_is_made = True
             running = asyncio.create_task(own.run())
             while not own.life.ready:
                 await asyncio.sleep(0.005)
