`counter inspect` names windows by the clock that instances keep, not by a stepped one

What an operator saw: after a step of the machine's clock, the count of a window that no instance uses. It named the window by its own wall clock; it now reads the instances' from the state folder (shown_clock), and writes nothing there. The new case of tests/test_clock_memory.py guards it; without the file, or where it is torn, the wall clock, as before. Looked at, and left: Unix times in records, state files, zones' words and incarnations are shown or only grow.

--- a/lynxreel/daemon/clock_memory.py
+++ b/lynxreel/daemon/clock_memory.py
@@ -74,19 +74,16 @@
     """
     path = folder / FILE_NAME
     try:
-        current = ClockMemory.current()
+        current, known = ClockMemory.current(), _known(path)
     except OSError as wrong:
         log(f"steps of the wall clock can't be told from its time: {wrong}")
         return Clock()
-    known = _known(path)
-    if known is not None and known.boot_id == current.boot_id:
-        step_ns = current.offset_ns - known.offset_ns
-        if abs(step_ns) >= STEP_LEAST_NS:
-            log(
-                f"the wall clock was stepped by {step_ns / 1e9:+.3f} s since {path} was written: "
-                "the time of before is kept; to follow the new one, remove that file and start again"
-            )
-            return known.clock()
+    if known is not None and (step_ns := _step_ns(known, current)):
+        log(
+            f"the wall clock was stepped by {step_ns / 1e9:+.3f} s since {path} was written: "
+            "the time of before is kept; to follow the new one, remove that file and start again"
+        )
+        return known.clock()
     try:
         current.write(path)
     except OSError as wrong:
@@ -94,6 +91,21 @@
     return current.clock()
 
 
+def shown_clock(folder: Path) -> Clock:
+    """The clock that an instance would go by if it started in this folder now, for tools; writes nothing."""
+    try:
+        current, known = ClockMemory.current(), ClockMemory.read(folder / FILE_NAME)
+    except (OSError, BadMemory):
+        return Clock()
+    return known.clock() if known is not None and _step_ns(known, current) else current.clock()
+
+
+def _step_ns(known: ClockMemory, current: ClockMemory) -> int:
+    """By how much the wall clock was stepped in between; 0 on another boot, and where it is next to nothing."""
+    step_ns = current.offset_ns - known.offset_ns
+    return step_ns if known.boot_id == current.boot_id and abs(step_ns) >= STEP_LEAST_NS else 0
+
+
 def _offset_ns() -> tuple[int, int]:
     """How long a reading of both clocks took, and how far the wall clock is ahead of the boot clock."""
     before = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
--- a/lynxreel/daemon/inspect.py
+++ b/lynxreel/daemon/inspect.py
@@ -5,13 +5,13 @@
 import asyncio
 import json
 import sys
-import time
 from pathlib import Path
 from typing import Any
 
 from lynxreel.config.deploy import deploy
 from lynxreel.config.read import ConfigError, read
 from lynxreel.counters.bump import Counter
+from lynxreel.daemon.clock_memory import shown_clock
 from lynxreel.daemon.place import Place
 from lynxreel.jsonlines import ask
 from lynxreel.node import Deployment
@@ -39,7 +39,7 @@
     if figures.rate <= 0:
         print(f"plan {plan!r} has no quota: nothing is counted", file=sys.stderr)
         return NO_SUCH
-    now = time.time_ns() // 1_000
+    now = shown_clock(Path(files[0].state.folder)).now()
     count, length = window(number, figures, now)
     name = count_name(number, count)
     answer = asyncio.run(_total(deployment, name, 2 * length))
--- a/tests/test_clock_memory.py
+++ b/tests/test_clock_memory.py
@@ -8,7 +8,7 @@
 import pytest
 
 from lynxreel.daemon import clock_memory
-from lynxreel.daemon.clock_memory import FILE_NAME, ClockMemory, remembered_clock
+from lynxreel.daemon.clock_memory import FILE_NAME, ClockMemory, remembered_clock, shown_clock
 
 HOUR_NS = 3_600 * 10**9
 AGREE_US = 100_000  # two readings of one clock, a few lines apart
@@ -100,3 +100,18 @@
     clock = remembered_clock(tmp_path)
     assert abs(clock.now() - real() // 1_000) < AGREE_US
     assert held == []
+
+
+def test_tools_go_by_the_clock_of_the_instances_and_write_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards `counter inspect`, which names the window that it shows."""
+    assert abs(shown_clock(tmp_path).now() - time.time_ns() // 1_000) < AGREE_US
+    assert list(tmp_path.iterdir()) == []
+    remembered_clock(tmp_path)
+    written, real = (tmp_path / FILE_NAME).read_text(), time.time_ns
+    step(monkeypatch, HOUR_NS)
+    assert abs(shown_clock(tmp_path).now() - real() // 1_000) < AGREE_US
+    assert (tmp_path / FILE_NAME).read_text() == written
+    (tmp_path / FILE_NAME).write_text("torn")
+    assert abs(shown_clock(tmp_path).now() - time.time_ns() // 1_000) < AGREE_US
