The soak's referee knows what the gateway has read: nothing of that may end unanswered

An observer, loaded before the program, now writes down each command that a connection takes whole, in all four programs; such a request is lost if it has no answer. The 0.35 s are left for what was never read. Test: a program that aborts a connection in place of a refusal is found now; with the observer's notes cleared the same run has no break, as it was judged before.

--- a/lynxreel/daemon/clock_memory.py
+++ b/lynxreel/daemon/clock_memory.py
@@ -101,7 +101,7 @@
 
 
 def _step_ns(known: ClockMemory, current: ClockMemory) -> int:
-    """By how much the wall clock was stepped in between; 0 on another boot, and where it is next to nothing."""
+    """By how much the wall clock was stepped in between; 0 on another boot, or where that is little."""
     step_ns = current.offset_ns - known.offset_ns
     return step_ns if known.boot_id == current.boot_id and abs(step_ns) >= STEP_LEAST_NS else 0
 
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -47,3 +47,4 @@
     exit_code: int | None = None  # None: it was still there at the kill
     log: str = ""
     rig_lag: float = 0.0  # for which the rig itself stood still at the worst
+    read: set[bytes] = field(default_factory=set)  # requests that the gateway has read whole
--- a/tests/soak/referee.py
+++ b/tests/soak/referee.py
@@ -13,7 +13,7 @@
 
 LATE = 0.5  # after a request's time in which an answer only earns nothing
 TOLD_SLACK = 0.15  # by which the time told to a server may exceed what is left
-CROSSING = 0.35  # before a connection's end in which what is written may cross it unread
+CROSSING = 0.35  # before a connection's end in which what is written and never read may cross it
 WAY = 0.05  # for the way from a client's write to the gateway's reading, on one machine
 GONE = 0.1  # after a client's close in which an attempt may still begin
 MOST_ATTEMPTS = 3  # that the settings here allow for one request
@@ -52,7 +52,7 @@
 
 
 def _answers(history: History) -> Iterator[Break]:
-    arrived = {arrival.number for arrival in history.arrivals}
+    taken = history.read | {arrival.number for arrival in history.arrivals}
     for connection in history.connections:
         if connection.too_many:
             yield Break(Rule.DOUBLE, f"{connection.name}: {connection.too_many} answers too many")
@@ -63,7 +63,7 @@
             if not asked.answers:
                 ended = connection.ended_at
                 crossed = ended is not None and ended - asked.written_at < CROSSING + history.rig_lag
-                if asked.number in arrived or not crossed:
+                if asked.number in taken or not crossed:
                     yield Break(Rule.LOST, f"{where}, end at {ended}")
             elif (late := _late_by(asked)) > LATE + history.rig_lag:
                 yield Break(Rule.LATE, f"{where}, {late:.3f} s late")
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -33,6 +33,19 @@
 START = 30.0  # seconds that a start may take
 LOOK = 0.005  # seconds between looks whether it is ready
 WORKERS = 2
+READ = "read"  # the file of the requests that the gateway has read whole, a line each
+# Loaded before the program; it changes nothing that the program does. Workers write to the same file.
+OBSERVER = """
+import os
+from lynxreel.fronts import resp2
+_read = os.open(os.environ["SOAK_READ"], os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
+_take = resp2.Connection._take
+def _observed(connection, words):
+    if len(words) > 2:
+        os.write(_read, words[2] + b"\\n")
+    return _take(connection, words)
+resp2.Connection._take = _observed
+"""
 COUNTER_FAULTS = {CounterState.SLOW: Kind.SLOW, CounterState.SILENT: Kind.SILENT}
 
 
@@ -94,6 +107,8 @@
             finally:
                 self._kill()
                 await asyncio.to_thread(self._process.wait)
+        if (read := self.folder / READ).exists():
+            self.history.read = set(read.read_bytes().split())
         self.history.log = (self.folder / "gateway.log").read_text(errors="replace")
         self._close()
         return self.history
@@ -176,9 +191,9 @@
     def _start(self, log: Any) -> None:
         self._write_configuration()
         environment, kept = dict(os.environ), ()
-        if self._change:
-            (self.folder / "sitecustomize.py").write_text(self._change)
-            environment["PYTHONPATH"] = f"{self.folder}:{ROOT}"
+        (self.folder / "sitecustomize.py").write_text(OBSERVER + self._change)
+        environment["PYTHONPATH"] = f"{self.folder}:{ROOT}"
+        environment["SOAK_READ"] = str(self.folder / READ)
         if self.schedule.by_platform:
             environment["EDGE_CONFIG"] = str(self.folder / "config.json")
             words = ["/bin/sh", "-c", RUN]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -153,6 +153,20 @@
     assert rule in {broken.rule for broken in found}, found
 
 
+def test_what_is_read_right_before_its_connection_ends_has_its_answer(tmp_path: Path) -> None:
+    """Guards the referee: what the gateway has read has crossed nothing, however near the end it came."""
+    change = (
+        "from lynxreel.fronts.resp2 import Call, Connection\n"
+        "Call.refused = lambda call, wait: call.connection.transport.abort()"
+    )
+    history = play(PLAIN, tmp_path, change)
+    found = judge(PLAIN, history)
+    assert Rule.LOST in {broken.rule for broken in found}, found
+    assert history.read
+    history.read.clear()
+    assert judge(PLAIN, history) == []  # it could not be told before
+
+
 def test_the_schedules_of_the_changed_programs_break_nothing_by_themselves(tmp_path: Path) -> None:
     for number, schedule in enumerate((PLAIN, ONCE_ON_RESETS, LOOKUPS_ON_RESETS, LEAVING_HANGING)):
         assert not judge(schedule, play(schedule, tmp_path / str(number)))
@@ -164,5 +178,8 @@
     assert [found.rule for found in judge(PLAIN, history)] == [Rule.LOST]
     early.answers.append((0.2, b"-BUSY"))
     assert judge(PLAIN, history) == []
+    history.read.add(b"q2")
+    assert [found.rule for found in judge(PLAIN, history)] == [Rule.LOST]
+    history.read.clear()
     history.arrivals.append(Arrival(b"q2", 0.97, 0, 1.0))  # it has been read, and sent on
     assert [found.rule for found in judge(PLAIN, history)] == [Rule.LOST, Rule.FORWARDED_LATE]
