--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -36,6 +36,7 @@
     "takeover_orders",
     "takeover",
     "list_size",
+    "shared_clock",
     "zones",
 )
 
--- a/lynxreel/peers/clock.py
+++ b/lynxreel/peers/clock.py
@@ -12,13 +12,10 @@
 from lynxreel.log import log
 from lynxreel.peers.datagrams import Peers
 from mothgap.interface import PeerMessage
-from mothgap.shared_clock import AskClock, ClockSurvey, TellClock, read, write
+from mothgap.shared_clock import AskClock, ClockSurvey, Rounds, TellClock, read, write
 
 PATIENCE = 0.1  # seconds for which a survey waits for answers
 AGAIN = 0.05  # seconds after which those who have not answered are asked once more
-FIRST_WAIT = 1.0  # seconds in the mean from the start to the next survey; the waits double...
-LONGEST_WAIT = 30.0  # ...up to this
-CONFIRMED = 2  # surveys in a row after which nothing more is asked: most have answered, and all agreed
 
 _began_ns = time.monotonic_ns()  # as near to the start of the process as makes no difference
 
@@ -77,20 +74,13 @@
             self._task.cancel()
 
     async def _follow(self, shifted: Callable[[int], None]) -> None:
-        wait, confirmed = FIRST_WAIT, 0
-        while confirmed < CONFIRMED:
-            await asyncio.sleep(wait * self._chance.uniform(0.5, 1.5))
-            wait = min(2 * wait, LONGEST_WAIT)
-            survey = await self._ask()
-            if not survey.settled:
-                confirmed = 0
-            elif ahead := survey.ahead(process_age()):
-                confirmed = 0
+        rounds = Rounds(self._chance)
+        while (wait := rounds.wait()) is not None:
+            await asyncio.sleep(wait)
+            if ahead := rounds.over(await self._ask(), process_age()):
                 self._say(ahead)
                 self._shift += ahead
                 shifted(self._shift)
-            else:
-                confirmed += 1
 
     async def _ask(self) -> ClockSurvey:
         """A survey, with the answers that came in time."""
--- a/mothgap/shared_clock.py
+++ b/mothgap/shared_clock.py
@@ -21,6 +21,9 @@
 ASK, TELL = 3, 4
 ASKED_MOST = 8  # gateways that are asked, of however many
 AGREE = 500_000  # microseconds: clocks that are nearer to each other are one clock
+FIRST_WAIT = 1.0  # seconds in the mean from the start to the next survey; the waits double...
+LONGEST_WAIT = 10.0  # ...up to this
+CONFIRMED = 4  # surveys in a row, answered by most and agreeing, after which nothing more is asked
 _ASK, _TELL = struct.Struct("<BBQ"), struct.Struct("<BBQQQ")
 
 
@@ -118,3 +121,28 @@
         """
         ahead = agreed([Reading(0, age), *self._readings.values()])
         return ahead if abs(ahead) >= AGREE else 0
+
+
+class Rounds:
+    """The surveys after that of the start: whoever came first, or was cut off, comes round by them."""
+
+    def __init__(self, chance: random.Random) -> None:
+        self._chance = chance
+        self._wait = FIRST_WAIT
+        self._confirmed = 0
+
+    def wait(self) -> float | None:
+        """Seconds until the next survey, drawn by chance; None where no more are wanted."""
+        if self._confirmed >= CONFIRMED:
+            return None
+        wait, self._wait = self._wait, min(2 * self._wait, LONGEST_WAIT)
+        return wait * self._chance.uniform(0.5, 1.5)
+
+    def over(self, survey: ClockSurvey, age: int) -> int:
+        """A survey has ended: by how many microseconds the own clock is to go ahead; 0 where it stays.
+
+        `age`: as for `ClockSurvey.ahead`. Clocks in service follow most of those who were asked, or nobody.
+        """
+        ahead = survey.ahead(age) if survey.settled else 0
+        self._confirmed = self._confirmed + 1 if survey.settled and not ahead else 0
+        return ahead
--- a/tests/test_shared_clock.py
+++ b/tests/test_shared_clock.py
@@ -9,11 +9,10 @@
 import pytest
 
 from lynxreel.engine.engine import Clock
-from lynxreel.peers import clock as clock_shell
 from lynxreel.peers.clock import FleetClock
 from lynxreel.peers.datagrams import Peers
 from lynxreel.protocol.address import Address
-from mothgap import lending
+from mothgap import lending, shared_clock
 from mothgap.interface import PeerMessage
 from mothgap.shared_clock import (
     AGREE,
@@ -192,7 +191,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario() -> None:
-        monkeypatch.setattr(clock_shell, "FIRST_WAIT", 0.05)
+        monkeypatch.setattr(shared_clock, "FIRST_WAIT", 0.05)
         loop, places = asyncio.get_running_loop(), (*free(), *free())[:3]
         clock, others = await asking(places), Others(places, loop)
         await clock.begin()
