--- a/tests/test_work_in_hand.py
+++ b/tests/test_work_in_hand.py
@@ -236,6 +236,7 @@
     run(scenario)
 
 
+@pytest.mark.whole_machine
 @pytest.mark.parametrize("seed", [1, 2])
 def test_ten_of_twenty_killed_together_under_load_of_all_effects(tmp_path: Path, seed: int) -> None:
     """What they held is answered elsewhere in time; nothing is lost, told twice, or run twice."""
@@ -260,6 +261,7 @@
     run(scenario, 120)
 
 
+@pytest.mark.whole_machine
 def test_a_whole_zones_gateways_killed_together(tmp_path: Path) -> None:
     """Their keepers are in other zones: all that had come to a box is found there."""
 
