Shutdown: commands behind a full queue are read and refused while there is time for it

What callers saw: clients that had pipelined more than 64 commands on a connection got no answer to the rest. Cause: Connection reads nothing while 64 commands wait (MOST_OPEN), also once each new command is refused at once and can't wait for a server. Change: from the moment that new work is refused a connection takes a turn of 64 behind a full queue at a time, by the pacing that was there. The decisions refuse as before; answers behind an open command are kept as one string, 256 KiB of it at most, and leave in order. Who reads none of its answers is not read, as before.

--- a/lynxreel/fronts/resp2.py
+++ b/lynxreel/fronts/resp2.py
@@ -29,6 +29,7 @@
 CUSTOMERS = 1 << 33
 HALF_READ = 1.0  # seconds that a drain waits for a first command or the rest of one: longer than these travel
 MOST_OPEN = 64  # commands of one connection that wait for their answers; more are not read yet
+MOST_KEPT = 1 << 18  # bytes of answers to commands that are read behind those, once new ones are refused
 TURN = 64  # commands taken from one connection before others have their turn
 PAUSE = 0.05  # seconds without reading after a command that is no call: repeats must not take the others' CPU
 PATIENCE = 2.5  # seconds for a first command, for the rest of one (slow ones take 2), and for reading answers
@@ -208,8 +209,12 @@
 
     def _read(self) -> None:
         """Take what is whole, as long as there is room for more answers."""
+        room = self._room()
+        if not room:
+            self._hold(self.FULL)
+            return
         try:
-            taken, bad, more = self._take_whole()
+            taken, bad, more = self._take_whole(room)
         except resp.Malformed as wrong:
             self.reject(f"Protocol error: {wrong}")
             return
@@ -219,7 +224,7 @@
             self._clients.waiting.pop(self, None)
             if not self.queue:
                 self._clients.rest(self)
-        if len(self.queue) >= MOST_OPEN:
+        if len(self.queue) >= MOST_OPEN and not self._clients.refusing:
             self._hold(self.FULL)
         if bad or taken >= TURN:
             # Guards the other clients: one that only sends what is turned away gets no more than its turn.
@@ -228,12 +233,36 @@
         if taken and not self.queue and self._clients.draining.closing:
             self.end()
 
-    def _take_whole(self) -> tuple[int, bool, bool]:
+    def _room(self) -> int:
+        """How many commands may be taken now.
+
+        Once new ones are refused, a turn of them is taken behind a full queue, too: each has its answer at
+        once. Left unread until the queue is answered, they may be too many for the time that is left.
+        """
+        if not self._clients.refusing:
+            return max(0, MOST_OPEN - len(self.queue))
+        kept = self._join_answers()
+        return TURN if len(self.queue) <= MOST_OPEN + 1 and kept < MOST_KEPT else 0
+
+    def _join_answers(self) -> int:
+        """Keep the answers behind the last open command as one. Guards memory. Returns their bytes."""
+        answers: list[bytes] = []
+        while self.queue and isinstance(reply := self.queue[-1].reply, bytes):
+            answers.append(reply)
+            self.queue.pop()
+        if not answers:
+            return 0
+        joined = Call(self)
+        joined.reply = b"".join(reversed(answers))
+        self.queue.append(joined)
+        return len(joined.reply)
+
+    def _take_whole(self, most: int) -> tuple[int, bool, bool]:
         """Take commands: how many, whether one of them was none, and whether there may be more."""
         taken, bad, words = 0, False, None
         self._reading = True
         try:
-            while taken < TURN and len(self.queue) < MOST_OPEN:
+            while taken < most:
                 if (words := self._reader.next()) is None:
                     break
                 bad |= not self._take(cast(list[bytes], words))
@@ -381,12 +410,20 @@
 
         A request may be under way on one that nothing has come on; after an answer that is far less likely.
         """
-        if self.queue or self._reading:
+        if self._reading:
+            return
+        if self.queue:
+            self._read_behind()
             return
         if patient and not self._ending and self._may_owe():
             return
         self._close()
 
+    def _read_behind(self) -> None:
+        """Go on reading behind a full queue, where that is due."""
+        if self._holds & self.FULL and not self._ending and self._clients.refusing:
+            self._release(self.FULL)
+
     def _may_owe(self) -> bool:
         """A request may have come, whole or in part, that has not been taken."""
         now = self._clients.loop.time()
@@ -483,6 +520,7 @@
         self._sweeping = False
         self.port = 0
         self.leaving = False  # pings are told that this gateway takes no new work
+        self._refuse_from = math.inf  # when what comes is no longer taken on, by the loop's clock
         self.report: ShutdownReport | None = None  # once the process is to end
         self.draining = Draining(self, loop)
 
@@ -616,6 +654,15 @@
         for connection in self.connections:
             connection.welcome()
 
+    def refuse_after(self, seconds: float) -> None:
+        """What comes after so many seconds is refused, by whoever decides. A later call makes it no later."""
+        self._refuse_from = min(self._refuse_from, self.loop.time() + seconds)
+
+    @property
+    def refusing(self) -> bool:
+        """What comes is refused at once."""
+        return self.loop.time() >= self._refuse_from
+
     async def drain(self, times: DrainTimes) -> None:
         """Close the listeners, and each connection as soon as nothing is owed on it."""
         await self.unlisten()
--- a/lynxreel/node.py
+++ b/lynxreel/node.py
@@ -412,6 +412,7 @@
     def stop(self, refuse_after: float, answer_by: float) -> None:
         """Refuse what comes after so many seconds, and answer everything within so many."""
         self.engine.stop(max(0.0, refuse_after), max(0.0, answer_by))
+        self.clients.refuse_after(max(0.0, refuse_after))
 
     async def drain(self, times: DrainTimes) -> None:
         """End all fronts, each connection as soon as nothing is owed on it."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,7 +10,13 @@
 
 __all__ = ["no_internal_errors"]
 
-WHOLE_MACHINE = ("test_zones.py", "test_zone_faults.py", "test_shutdown.py", "test_soak.py")
+WHOLE_MACHINE = (
+    "test_zones.py",
+    "test_zone_faults.py",
+    "test_shutdown.py",
+    "test_shutdown_backlog.py",
+    "test_soak.py",
+)
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
--- a/tests/test_client_closes.py
+++ b/tests/test_client_closes.py
@@ -4,18 +4,19 @@
 import select
 import socket
 from collections.abc import Awaitable, Callable
-from typing import cast
+from typing import Any, cast
 
 import pytest
 
 from lynxreel.engine.engine import Engine
 from lynxreel.fronts import lingering, resp2
-from lynxreel.fronts.resp2 import MOST_OPEN, Clients, Connection
+from lynxreel.fronts.resp2 import MOST_OPEN, TURN, Clients, Connection
 from tests.net import LOCAL, TERMS, Heard, call, resp, run, until
 
 PING, PONG = resp(b"PING"), b"+PONG\r\n"
 SERVED = b"$3\r\none\r\n"
 UNKNOWN = b"-ERR unknown command\r\n"
+REFUSED = b"-BUSY\r\n"
 
 
 class Client:
@@ -43,9 +44,28 @@
 Scenario = Callable[[Heard, Clients, Connect], Awaitable[None]]
 
 
-def play(scenario: Scenario, most: int = 8) -> None:
+class Refusing(Heard):
+    """Stands in for the engine in a shutdown: a request has its refusal in the loop's next turn."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.refused = 0
+        self.most_queued = 0  # entries in the queue of a connection that a request came on
+        self.refusing = False
+
+    def submit(self, call: Any) -> int:
+        if not self.refusing:
+            return super().submit(call)
+        self.refused += 1
+        self.most_queued = max(self.most_queued, len(call.connection.queue))
+        asyncio.get_running_loop().call_soon(call.refused, 0)
+        return 1
+
+
+def play(scenario: Scenario, most: int = 8, heard: Heard | None = None) -> None:
+    heard = heard or Heard()
+
     async def start() -> None:
-        heard = Heard()
         clients = Clients(cast(Engine, heard), TERMS, most, asyncio.get_running_loop())
         await clients.listen(LOCAL, 0)
         opened: list[Client] = []
@@ -300,3 +320,85 @@
         await until(lambda: connection not in clients.connections)
 
     play(scenario)
+
+
+async def refusing_behind_a_full_queue(
+    engine: Refusing, clients: Clients, connect: Connect, behind: int
+) -> tuple[Client, Connection, list[Any]]:
+    """A client with as many open commands as allowed, so many unread behind them, and new ones refused."""
+    client, connection = await connect()
+    arrive(client, connection, b"".join(call(number) for number in range(MOST_OPEN)))
+    calls = [await engine.calls.get() for _ in range(MOST_OPEN)]
+    arrive(client, connection, b"".join(call(MOST_OPEN + number) for number in range(behind)))
+    engine.refusing = True
+    clients.refuse_after(0.0)
+    clients.draining.closing = True
+    return client, connection, calls
+
+
+def test_commands_behind_a_full_queue_are_read_and_refused_once_new_ones_are() -> None:
+    # Guards their answers: left until the queue is answered, they are too many for the time before the kill.
+    engine, behind = Refusing(), 10 * TURN + 5
+
+    async def scenario(__: Heard, clients: Clients, connect: Connect) -> None:
+        client, connection, calls = await refusing_behind_a_full_queue(engine, clients, connect, behind)
+        connection.end()  # the drain's look
+        await until(lambda: engine.refused == behind)
+        assert engine.most_queued <= MOST_OPEN + 1 + TURN  # what is answered is kept as one
+        for answered in calls:
+            answered.failed()
+        connection.end()
+        assert await client.rest() == b"-ERR failed\r\n" * MOST_OPEN + REFUSED * behind
+
+    play(scenario, heard=engine)
+
+
+def test_what_is_kept_behind_a_full_queue_is_bounded_by_bytes(monkeypatch: pytest.MonkeyPatch) -> None:
+    engine, behind = Refusing(), 10 * TURN + 5
+    monkeypatch.setattr(resp2, "MOST_KEPT", 3 * TURN * len(REFUSED))
+
+    async def scenario(__: Heard, clients: Clients, connect: Connect) -> None:
+        client, connection, calls = await refusing_behind_a_full_queue(engine, clients, connect, behind)
+        for _ in range(100):
+            connection.end()
+            await asyncio.sleep(0)
+        assert engine.refused == 3 * TURN
+        for answered in calls:
+            answered.failed()
+        await until(lambda: engine.refused == behind)  # there is room again
+        connection.end()
+        assert await client.rest() == b"-ERR failed\r\n" * MOST_OPEN + REFUSED * behind
+
+    play(scenario, heard=engine)
+
+
+def test_others_have_their_turn_between_commands_read_behind_a_full_queue() -> None:
+    engine, behind = Refusing(), 20 * TURN
+
+    async def scenario(__: Heard, clients: Clients, connect: Connect) -> None:
+        other, of_other = await connect()
+        _, connection, _ = await refusing_behind_a_full_queue(engine, clients, connect, behind)
+        arrive(other, of_other, PING)
+        connection.end()
+        assert await other.read(len(PONG)) == PONG
+        assert engine.refused < behind
+
+    play(scenario, heard=engine)
+
+
+def test_nothing_is_read_behind_a_full_queue_while_new_ones_are_taken() -> None:
+    # Guards the bound on what one connection may have open.
+    async def scenario(heard: Heard, clients: Clients, connect: Connect) -> None:
+        client, connection = await connect()
+        arrive(client, connection, b"".join(call(number) for number in range(MOST_OPEN)))
+        for _ in range(MOST_OPEN):
+            await heard.calls.get()
+        arrive(client, connection, call(MOST_OPEN))
+        clients.refuse_after(60.0)
+        clients.draining.closing = True
+        for _ in range(100):
+            connection.end()
+            await asyncio.sleep(0)
+        assert heard.calls.empty()
+
+    play(scenario)
