A drain reads what has come before it closes, also when its patience is over

What callers saw: a connection was closed over commands that had been written and not read, between two turns of reading: at the moment by which all is answered (3.35 s after SIGTERM), and from 1 s after the first look on, amid the drain's patience. Cause: Connection.end closed at once where it was not patient, and _may_owe stopped asking what lies unread after HALF_READ; in HTTP the same line. Reading goes in turns, and between two of them the queue is empty. Change: a drain tells connections two things at each look, whether it waits for the rest of a command and whether it reads on. The tests fail without the change: paced commands, 1 s amid patience, HTTP, and without the end the flood's and the drain's steps; both bursts over the process fail on (as both backlogs do).

--- a/lynxreel/fronts/http.py
+++ b/lynxreel/fronts/http.py
@@ -508,12 +508,15 @@
 
     # --- ends -------------------------------------------------------------------------------------------
 
-    def end(self, patient: bool = True) -> None:
-        """Close once nothing is owed. While `patient`, what has come is read first, its rest waited for."""
+    def end(self, patient: bool = True, reads_on: bool = False) -> None:
+        """Close once nothing is owed. While `patient`, what has come is read first, its rest waited for.
+
+        While it `reads_on`, what has come is read first.
+        """
         if self._call is not None or self._lingering or self.transport.is_closing():
             return
         if self._http is None and not self._buffer:
-            if not (patient and has_unread(self.transport)):
+            if not ((patient or reads_on) and has_unread(self.transport)):
                 self._close()
         elif not patient:
             self._fatal(503, "Shutting down", "the rest of the request did not come in time")
--- a/lynxreel/fronts/resp2.py
+++ b/lynxreel/fronts/resp2.py
@@ -231,7 +231,7 @@
             self._hold(self.PACED)
             self._clients.loop.call_later(PAUSE if bad else 0, self._release, self.PACED)
         if taken and not self.queue and self._clients.draining.closing:
-            self.end()
+            self._clients.draining.end(self)
 
     def _room(self) -> int:
         """How many commands may be taken now.
@@ -324,7 +324,7 @@
         if not self.queue:
             self._clients.rest(self)
             if self._ending or self._clients.draining.closing:
-                self.end()
+                self._clients.draining.end(self)
 
     def _begin(self, stream: Stream) -> None:
         """The turn of a large value. With the limit at 0, `resume_writing` tells when what came is sent."""
@@ -405,9 +405,10 @@
         else:
             self._clients.wait_for(self)  # cut off where the answers are never read
 
-    def end(self, patient: bool = True) -> None:
+    def end(self, patient: bool = True, reads_on: bool = False) -> None:
         """Close once nothing is owed. While `patient`, what has come is read first, its rest waited for.
 
+        While it `reads_on`, what has come whole is read first: its client may have written it long before.
         A request may be under way on one that nothing has come on; after an answer that is far less likely.
         """
         if self._reading:
@@ -415,7 +416,7 @@
         if self.queue:
             self._read_behind()
             return
-        if patient and not self._ending and self._may_owe():
+        if not self._ending and ((patient and self._may_owe()) or (reads_on and self._unread())):
             return
         self._close()
 
--- a/tests/test_client_closes.py
+++ b/tests/test_client_closes.py
@@ -9,14 +9,18 @@
 import pytest
 
 from lynxreel.engine.engine import Engine
-from lynxreel.fronts import lingering, resp2
+from lynxreel.fronts import draining, http, lingering, resp2
+from lynxreel.fronts.draining import DrainTimes
 from lynxreel.fronts.resp2 import MOST_OPEN, TURN, Clients, Connection
+from lynxreel.openapi.admission import Admission
+from lynxreel.openapi.repeats import Repeats
 from tests.net import LOCAL, TERMS, Heard, call, resp, run, until
 
 PING, PONG = resp(b"PING"), b"+PONG\r\n"
 SERVED = b"$3\r\none\r\n"
 UNKNOWN = b"-ERR unknown command\r\n"
 REFUSED = b"-BUSY\r\n"
+OPTIONS = b"OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
 class Client:
@@ -91,7 +95,7 @@
     run(start)
 
 
-def arrive(client: Client, connection: Connection, data: bytes) -> None:
+def arrive(client: Client, connection: Connection | http.Connection, data: bytes) -> None:
     """Bytes of the client lie unread at the gateway when this returns; its loop has had no turn meanwhile."""
     client.socket.sendall(data)
     poll = select.poll()
@@ -402,3 +406,94 @@
         assert heard.calls.empty()
 
     play(scenario)
+
+
+def test_what_has_come_is_read_though_the_patience_of_the_drain_is_over(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards what was written long before: it waits for the connection's next turn, and nothing is owed.
+    monkeypatch.setattr(draining, "READ_ON", 60.0, raising=False)
+    engine, written = Refusing(), 20 * TURN
+    engine.refusing = True
+
+    async def scenario(__: Heard, clients: Clients, connect: Connect) -> None:
+        client, connection = await connect()
+        client.socket.sendall(resp(b"SELECT", b"1"))
+        assert (await client.read(len(UNKNOWN))) == UNKNOWN
+        arrive(client, connection, b"".join(call(number) for number in range(written)))  # not read for now
+        drain = asyncio.create_task(clients.drain(DrainTimes(announce=0.0, patience=0.0, cut_off=120.0)))
+        assert await client.rest() == REFUSED * written
+        client.socket.close()
+        await drain
+
+    play(scenario, heard=engine)
+
+
+def test_what_has_come_is_read_for_as_long_as_the_drain_is_patient(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a limit of its own on what waits to be read, counted from the first look.
+    monkeypatch.setattr(resp2, "HALF_READ", 0.0)
+    engine, written = Refusing(), 20 * TURN
+    engine.refusing = True
+
+    async def scenario(__: Heard, clients: Clients, connect: Connect) -> None:
+        client, connection = await connect()
+        arrive(client, connection, b"".join(call(number) for number in range(written)))
+        drain = asyncio.create_task(clients.drain(DrainTimes(announce=0.0, patience=60.0, cut_off=120.0)))
+        assert await client.rest() == REFUSED * written
+        client.socket.close()
+        await drain
+
+    play(scenario, heard=engine)
+
+
+def test_a_client_that_writes_without_end_does_not_hold_the_drain(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(draining, "READ_ON", 0.0, raising=False)
+    engine = Refusing()
+    engine.refusing = True
+
+    async def scenario(__: Heard, clients: Clients, connect: Connect) -> None:
+        client, connection = await connect()
+        arrive(client, connection, b"".join(call(number) for number in range(4 * TURN)))
+        drain = asyncio.create_task(clients.drain(DrainTimes(announce=0.0, patience=0.0, cut_off=120.0)))
+        reader, writer = await asyncio.open_connection(sock=client.socket)
+        number, ended = 4 * TURN, asyncio.create_task(reader.read())
+        while not ended.done():
+            writer.write(call(number))
+            await asyncio.sleep(0)
+            number += 1
+        assert set(ended.result().split(b"\r\n")) <= {b"-BUSY", b""}
+        writer.close()
+        await drain
+
+    play(scenario, heard=engine)
+
+
+class Options:
+    """Stands in for a description: all that it serves is `OPTIONS *`."""
+
+    @staticmethod
+    def allowed(segments: list[str]) -> list[str]:
+        """The methods that are named in the answer."""
+        return ["GET"]
+
+
+def test_what_has_come_by_http_is_answered_though_the_patience_of_the_drain_is_over() -> None:
+    async def start() -> None:
+        serving = http.Serving(cast(Admission, Options()), Repeats(1, 1.0), 1)
+        front = http.Web(cast(Engine, Heard()), serving, 8, asyncio.get_running_loop())
+        await front.listen(LOCAL, 0)
+        client = Client(front.addresses[0][1])
+        client.socket.sendall(OPTIONS)
+        answer = b""
+        while not answer.endswith(b"\r\n\r\n"):
+            answer += await client.read(1)
+        (connection,) = front.connections
+        front.draining.closing = True
+        arrive(client, connection, OPTIONS)
+        connection.end(patient=False, reads_on=True)
+        assert b"Connection: close" in await client.rest()
+        client.socket.close()
+        await until(lambda: not front.connections)
+        front.close()
+
+    run(start)
--- a/tests/test_shutdown_backlog.py
+++ b/tests/test_shutdown_backlog.py
@@ -3,18 +3,20 @@
 import asyncio
 import random
 import time
-from collections import Counter
+from collections import Counter, defaultdict
 from pathlib import Path
 
 import pytest
 
 from tests.net import run
-from tests.test_shutdown import Connection, Shutdown, order
+from tests.soak.referee import CROSSING
+from tests.test_shutdown import STALL, Connection, Shutdown, order
 
 CLIENTS = 4
 DEADLINE = 20.0  # seconds; far beyond the kill
 LEAD = 1.0  # seconds before SIGTERM in which clients write
 HANGING = 4  # commands that each client writes first; servers take them and answer nothing
+BURST = 90  # commands; more than a connection may have open
 
 
 class BacklogShutdown(Shutdown):
@@ -24,39 +26,85 @@
         super().__init__(folder, DEADLINE)
         self._commands = commands
         self._chance = random.Random(seed)
+        self.written_at: dict[str, list[float]] = defaultdict(list)  # of each command, by connection
+        self.ended_at: dict[str, float] = {}
 
     async def _open(self, port: int) -> None:
         moments = sorted(self._chance.uniform(0.0, LEAD) for _ in range(CLIENTS))
         for number in range(CLIENTS):
-            connection = self.connections[f"backlog-{number}"] = await Connection.open(port)
-            self._following.append(asyncio.create_task(connection.follow()))
-            self._write(f"hanging-{number}", connection, HANGING)
+            name = f"backlog-{number}"
+            self.connections[name] = await Connection.open(port)
+            self._following.append(asyncio.create_task(self._follow(name)))
+            self._write(name, "hanging", HANGING)
         while len(self.servers.received) < CLIENTS * HANGING:
             await asyncio.sleep(0.01)
         passed = 0.0
-        for moment, (name, connection) in zip(moments, self.connections.items(), strict=True):
+        for moment, name in zip(moments, self.connections, strict=True):
             await asyncio.sleep(moment - passed)
             passed = moment
-            self._write(name, connection, self._commands)
+            self._write(name, "early", self._commands)
         await asyncio.sleep(LEAD - passed)
 
-    @staticmethod
-    def _write(name: str, connection: Connection, commands: int) -> None:
-        numbers = [f"{name}-{number}".encode() for number in range(commands)]
+    async def _follow(self, name: str) -> None:
+        await self.connections[name].follow()
+        self.ended_at[name] = time.monotonic()
+
+    def _write(self, name: str, what: str, commands: int) -> None:
+        """Write so many commands in one go."""
+        connection = self.connections[name]
+        numbers = [f"{name}-{what}-{number}".encode() for number in range(commands)]
         connection.asked += numbers
+        self.written_at[name] += [time.monotonic()] * commands
         connection.writer.write(b"".join(order(number, DEADLINE) for number in numbers))
 
     async def _ask_until(self, end: float) -> None:
         await asyncio.sleep(end - time.monotonic())
 
+    def unanswered_for(self, name: str) -> float:
+        """Seconds from the writing of the oldest command without an answer to the connection's end."""
+        unanswered = self.written_at[name][len(self.connections[name].answers) :]
+        return self.ended_at[name] - unanswered[0] if unanswered else 0.0
+
+    def check(self) -> None:
+        """What holds for every shutdown."""
+        assert self.code == 0, self.log  # it had ended by itself
+        assert {connection.ended for connection in self.connections.values()} == {"closed"}
+        answers = Counter(answer[:5] for c in self.connections.values() for answer in c.answers)
+        assert set(answers) == {b"-ERR ", b"-BUSY"}  # failed where it may have run, else refused
+
+
+class BurstShutdown(BacklogShutdown):
+    """Clients go on writing bursts until their connections end; the process stands still near its end."""
+
+    def _stalls(self) -> list[float]:
+        return [self.kill_after - CROSSING - self._chance.uniform(0.0, STALL)]
+
+    async def _ask_until(self, end: float) -> None:
+        writing = [asyncio.create_task(self._write_bursts(name)) for name in self.connections]
+        await super()._ask_until(end)
+        for task in writing:
+            task.cancel()
+
+    async def _write_bursts(self, name: str) -> None:
+        number = 0
+        while not self.connections[name].ended:
+            self._write(name, f"late-{number}", self._commands)
+            number += 1
+            await asyncio.sleep(self._chance.uniform(0.01, 0.1))
+
 
 @pytest.mark.parametrize("commands", [3_000, 10_000])
 def test_commands_behind_a_full_queue_are_all_answered_before_the_kill(tmp_path: Path, commands: int) -> None:
     shutdown = BacklogShutdown(tmp_path, commands, seed=commands)
     run(shutdown.play)
     unanswered = {name: len(c.unanswered) for name, c in shutdown.connections.items() if c.unanswered}
-    assert not unanswered, (unanswered, shutdown.log)
-    assert {connection.ended for connection in shutdown.connections.values()} == {"closed"}
-    assert shutdown.code == 0, shutdown.log  # it had ended by itself
-    answers = Counter(answer[:5] for c in shutdown.connections.values() for answer in c.answers)
-    assert set(answers) == {b"-ERR ", b"-BUSY"}  # failed where it may have run, else refused
+    assert not unanswered, shutdown.log
+    shutdown.check()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_of_bursts_up_to_the_end_only_what_crosses_it_has_no_answer(tmp_path: Path, seed: int) -> None:
+    shutdown = BurstShutdown(tmp_path, BURST, seed)
+    run(shutdown.play)
+    assert max(map(shutdown.unanswered_for, shutdown.connections)) < CROSSING, shutdown.log
+    shutdown.check()
