An idle connection that is asked to end again is read first, however long after

Cause: Connection kept the time of the first ask (_asked_to_end_at) for its whole life, but for the end of a DRAIN, and read nothing first once HALF_READ had passed since. Change: what lies unread is read first at every ask; the time and the call that reset it are gone.

--- a/lynxreel/fronts/resp2.py
+++ b/lynxreel/fronts/resp2.py
@@ -178,7 +178,6 @@
         self._fresh = True  # nothing has come on it
         self._history = ConnectionHistory.NEW  # before the bytes that are being read
         self._reading = False  # commands are being taken: it does not end between two of them
-        self._asked_to_end_at = math.inf  # since when it is to close once nothing is owed
         self._ending = False  # nothing more is read; closed once all is answered
         self._stream: Stream | None = None  # what the first in the queue is being answered with
         self._whole = False  # all of that has been written, perhaps not sent
@@ -416,7 +415,8 @@
         if self.queue:
             self._read_behind()
             return
-        if not self._ending and ((patient and self._may_owe()) or (reads_on and self._unread())):
+        may_owe = (patient and self._may_owe()) or (reads_on and self._unread())
+        if may_owe and not self._ending:
             return
         self._close()
 
@@ -427,13 +427,11 @@
 
     def _may_owe(self) -> bool:
         """A request may have come, whole or in part, that has not been taken."""
-        now = self._clients.loop.time()
-        self._asked_to_end_at = min(self._asked_to_end_at, now)
-        if now - self._asked_to_end_at < HALF_READ and self._unread():
+        if self._unread():
             return True
         if not self._fresh and self._reader.empty():
             return False
-        return now - self._clients.waiting.get(self, -math.inf) < HALF_READ
+        return self._clients.loop.time() - self._clients.waiting.get(self, -math.inf) < HALF_READ
 
     def _unread(self) -> bool:
         """Something has come that could be read, but for a client that does not read its answers."""
@@ -441,10 +439,6 @@
             return False
         return bool(self._holds & (self.FULL | self.PACED)) or has_unread(self.transport)
 
-    def welcome(self) -> None:
-        """It may stay open after all."""
-        self._asked_to_end_at = math.inf
-
     def _close(self) -> None:
         self._ending = True
         if self.transport.is_closing() or self in self._clients.lingering:
@@ -652,8 +646,6 @@
         """Clients are welcome again."""
         self.leaving = False
         self.draining.take_back()
-        for connection in self.connections:
-            connection.welcome()
 
     def refuse_after(self, seconds: float) -> None:
         """What comes after so many seconds is refused, by whoever decides. A later call makes it no later."""
--- a/tests/test_client_closes.py
+++ b/tests/test_client_closes.py
@@ -497,3 +497,21 @@
         front.close()
 
     run(start)
+
+
+def test_an_idle_connection_that_is_asked_to_end_again_is_read_first(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against counting from an earlier time: the sweep may ask one that idles again and again.
+    monkeypatch.setattr(resp2, "HALF_READ", 0.02)
+
+    async def scenario(heard: Heard, clients: Clients, connect: Connect) -> None:
+        client, connection = await connect()
+        for number in range(2):
+            arrive(client, connection, call(number))
+            connection.end()
+            (await heard.calls.get()).served(b"one")
+            assert await client.read(len(SERVED)) == SERVED
+            await asyncio.sleep(0.05)  # longer than HALF_READ
+        connection.end()
+        assert await client.rest() == b""
+
+    play(scenario)
