A drain waits for clients that pause in reading their answers, as it reads on

What callers saw: a client that had pipelined much and read its answers slowly (a narrow network, small buffers) was closed over what it had written, at the drain's first look that found its queue empty after the patience was over. Cause: Connection._unread took a connection that is held because the client has not read yet (UNREAD) for one on which nothing waits.

--- a/lynxreel/fronts/resp2.py
+++ b/lynxreel/fronts/resp2.py
@@ -434,10 +434,8 @@
         return self._clients.loop.time() - self._clients.waiting.get(self, -math.inf) < HALF_READ
 
     def _unread(self) -> bool:
-        """Something has come that could be read, but for a client that does not read its answers."""
-        if self._holds & self.UNREAD:
-            return False
-        return bool(self._holds & (self.FULL | self.PACED)) or has_unread(self.transport)
+        """Something may have come that has not been read. The sweep cuts off who never reads its answers."""
+        return bool(self._holds) or has_unread(self.transport)
 
     def _close(self) -> None:
         self._ending = True
--- a/tests/test_client_closes.py
+++ b/tests/test_client_closes.py
@@ -515,3 +515,31 @@
         assert await client.rest() == b""
 
     play(scenario)
+
+
+def test_commands_of_a_client_that_reads_its_answers_slowly_are_answered_before_the_close(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards clients behind a narrow network: a pause in their reading is no sign that they never read.
+    monkeypatch.setattr(draining, "READ_ON", 60.0)
+    engine, written = Refusing(), 200 * TURN
+    engine.refusing = True
+
+    async def scenario(__: Heard, clients: Clients, connect: Connect) -> None:
+        client, connection = await connect()
+        client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 5_000)
+        own = connection.transport.get_extra_info("socket")
+        own.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 5_000)
+        connection.transport.set_write_buffer_limits(high=1_000)
+        reader, writer = await asyncio.open_connection(sock=client.socket, limit=1)
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        writer.write(b"".join(call(number) for number in range(written)))
+        await until(lambda: bool(connection._holds & Connection.UNREAD))
+        drain = asyncio.create_task(clients.drain(DrainTimes(announce=0.0, patience=0.0, cut_off=120.0)))
+        await asyncio.sleep(3 * draining.LOOK)
+        writer.transport.resume_reading()  # type: ignore[attr-defined]
+        assert await reader.read() == REFUSED * written
+        writer.close()
+        await drain
+
+    play(scenario, heard=engine)
