One connection has its turn in a round of the loop, so that signals and ends stay in time

What callers saw: in a shutdown, where 100 clients had written 500 commands each in one go, all 32 requests that servers had got were without an answer at the kill, and 16,032 in all. Cause: every connection with more than a turn of 64 read on in the same round of the loop (call_later(0) each). A round of a hundred is thousands of decisions; SIGTERM and the ends that count from it were acted on that late. Change: who has had a turn waits in one queue, of which a round reads one. Once new work is refused, what comes behind open commands waits there too, also what is released by an answer. Shares between connections stay as they were.

--- a/lynxreel/fronts/resp2.py
+++ b/lynxreel/fronts/resp2.py
@@ -196,7 +196,10 @@
         self._fresh = False
         if not self._ending:
             self._reader.feed(data)
-            self._read()
+            if self.queue and self._clients.refusing:
+                self._wait_for_turn()
+            else:
+                self._read()
 
     def _state(self) -> ConnectionHistory:
         """What this connection has carried so far."""
@@ -227,11 +230,24 @@
             self._hold(self.FULL)
         if bad or taken >= TURN:
             # Guards the other clients: one that only sends what is turned away gets no more than its turn.
-            self._hold(self.PACED)
-            self._clients.loop.call_later(PAUSE if bad else 0, self._release, self.PACED)
+            self._wait_for_turn(PAUSE if bad else 0.0)
         if taken and not self.queue and self._clients.draining.closing:
             self._clients.draining.end(self)
 
+    def _wait_for_turn(self, pause: float = 0.0) -> None:
+        """Read on after so many seconds, or when the others that wait have had their turns."""
+        if self._holds & self.PACED:
+            return
+        self._hold(self.PACED)
+        if pause:
+            self._clients.loop.call_later(pause, self.take_turn)
+        else:
+            self._clients.queue_turn(self)
+
+    def take_turn(self) -> None:
+        """Read on."""
+        self._release(self.PACED)
+
     def _room(self) -> int:
         """How many commands may be taken now.
 
@@ -386,6 +402,9 @@
         self._holds &= ~why
         if self._ending or self._holds or self.transport.is_closing():
             return
+        if why != self.PACED and self._clients.refusing:
+            self._wait_for_turn()
+            return
         self._clients.held.pop(self, None)
         self._read()
         if not self._holds and not self._ending:
@@ -508,6 +527,7 @@
         self.lingering: dict[Connection, None] = {}  # who is being closed; the oldest first
         self.held: dict[Connection, None] = {}  # who is not read for now
         self._checking_closes = False
+        self._turns: deque[Connection] = deque()  # who waits to be read on
         self._most = most
         self._listeners: dict[tuple[str, int], Door] = {}
         self._sweeping = False
@@ -576,6 +596,21 @@
         if self._checking_closes:
             self.loop.call_later(CLOSE_CHECK, self._check_closes)
 
+    def queue_turn(self, connection: Connection) -> None:
+        """It is read on behind the others that wait.
+
+        One has its turn in a round of the loop. Guards all else that is due, as signals and deadlines.
+        """
+        self._turns.append(connection)
+        if len(self._turns) == 1:
+            self.loop.call_soon(self._give_turn)
+
+    def _give_turn(self) -> None:
+        connection = self._turns.popleft()
+        if self._turns:
+            self.loop.call_soon(self._give_turn)
+        connection.take_turn()
+
     def linger(self, connection: Connection) -> None:
         """A connection is being closed: it owes nothing, but takes its place until it has ended."""
         self.waiting.pop(connection, None)
--- a/tests/test_client_closes.py
+++ b/tests/test_client_closes.py
@@ -543,3 +543,25 @@
         await drain
 
     play(scenario, heard=engine)
+
+
+@pytest.mark.parametrize("shutdown", [False, True], ids=["in service", "in a shutdown"])
+def test_in_each_round_of_the_loop_one_of_many_that_write_much_has_its_turn(shutdown: bool) -> None:
+    # Guards all else that is due, as signals and deadlines: a round in which all have theirs is long.
+    engine, connections, written = Refusing(), 6, 6 * TURN  # less than a socket holds: it comes at once
+    engine.refusing = True
+
+    async def scenario(__: Heard, clients: Clients, connect: Connect) -> None:
+        ends = [await connect() for _ in range(connections)]
+        if shutdown:
+            clients.refuse_after(0.0)
+        for client, connection in ends:
+            arrive(client, connection, b"".join(call(number) for number in range(written)))
+        taken = []
+        while engine.refused < connections * written:
+            before = engine.refused
+            await asyncio.sleep(0)
+            taken.append(engine.refused - before)
+        assert sum(count > TURN for count in taken) <= 1  # the first, when all of them come
+
+    play(scenario, heard=engine)
--- a/tests/test_shutdown_backlog.py
+++ b/tests/test_shutdown_backlog.py
@@ -22,16 +22,16 @@
 class BacklogShutdown(Shutdown):
     """Each client writes many commands in one go, at a drawn moment before SIGTERM, and then reads."""
 
-    def __init__(self, folder: Path, commands: int, seed: int) -> None:
+    def __init__(self, folder: Path, commands: int, seed: int, clients: int = CLIENTS) -> None:
         super().__init__(folder, DEADLINE)
-        self._commands = commands
+        self._commands, self._clients = commands, clients
         self._chance = random.Random(seed)
         self.written_at: dict[str, list[float]] = defaultdict(list)  # of each command, by connection
         self.ended_at: dict[str, float] = {}
 
     async def _open(self, port: int) -> None:
-        moments = sorted(self._chance.uniform(0.0, LEAD) for _ in range(CLIENTS))
-        for number in range(CLIENTS):
+        moments = sorted(self._chance.uniform(0.0, LEAD) for _ in range(self._clients))
+        for number in range(self._clients):
             name = f"backlog-{number}"
             self.connections[name] = await Connection.open(port)
             self._following.append(asyncio.create_task(self._follow(name)))
@@ -108,3 +108,11 @@
     run(shutdown.play)
     assert max(map(shutdown.unanswered_for, shutdown.connections)) < CROSSING, shutdown.log
     shutdown.check()
+
+
+def test_no_forwarded_request_is_lost_though_many_clients_have_written_much(tmp_path: Path) -> None:
+    """Together they have written more than the program may be able to read in time."""
+    shutdown = BacklogShutdown(tmp_path, 500, seed=1, clients=100)
+    run(shutdown.play)
+    assert not shutdown.lost, shutdown.log
+    shutdown.check()
