--- a/lynxreel/fronts/resp2.py
+++ b/lynxreel/fronts/resp2.py
@@ -255,7 +255,7 @@
         once. Left unread until the queue is answered, they may be too many for the time that is left.
         """
         if not self._clients.refusing:
-            return max(0, MOST_OPEN - len(self.queue))
+            return max(0, min(TURN, MOST_OPEN - len(self.queue)))
         kept = self._join_answers()
         return TURN if len(self.queue) <= MOST_OPEN + 1 and kept < MOST_KEPT else 0
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,7 +23,8 @@
     draw,
 )
 
-SEEDS = range(1, 13)  # all programs, states of the counter, and troubles of servers are among them
+# All programs, states of the counter, and troubles of servers are among them; 559 was listed as known red.
+SEEDS = (*range(1, 13), 559)
 LISTED = listed_parameters("tests/test_soak.py::test_a_drawn_shutdown_breaks_no_rule")
 
 LOOKUP, ORDER = RequestClass("lookup", Effect.REPEATABLE, 2.5), RequestClass("order", Effect.ONCE, 2.5)
