Connections opened ahead: their test waits for the tasks too, not for connections alone

No caller sees anything. Cause: a connection counts as open once it is made; its task ends a round of the loop later. The test looked every millisecond, and failed where a look fell between the two. Change: it waits for both, looking in each round, and asserts the same as before; a task that never ended fails it by its time.

--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -295,8 +295,8 @@
                 bench.servers.adopt(replace(FAST, handshake_price=price), 60_000_000, 3)
                 bench.servers.open_ahead(["s-1", "unknown"], 5)
                 await asyncio.sleep(0)
-                while bench.servers.open < opened:
-                    await asyncio.sleep(0.001)
+                while bench.servers.open < opened or bench.servers._ahead:
+                    await asyncio.sleep(0)
                 assert (bench.servers.open, len(bench.servers._ahead)) == (opened, 0)
             bench.send()
             assert not bench.servers._connects
