--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,12 +15,12 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from rig import Box, Gateway, Rig, pack, play  # noqa: E402
 
-LARGE, LONG = 4 << 20, 64_000  # bytes of the values of a connection's first request, and of the others
+LARGE, LONG = 4 << 20, 65_000  # bytes of the values of a connection's first request, and of the others
 LARGES = 3  # large values that each client asks for, before the others
 SLOW = 250_000  # bytes a second that a client's line carries, all the time
 LINE = 65_536  # bytes that wait on the client's side at most
-CONNECTIONS = 22  # to each of the two gateways
-BATCHES, BATCH, EVERY = 10, 6, 3.2  # commands that are sent at once, and seconds between
+CONNECTIONS = 26  # to each of the two gateways
+BATCHES, BATCH, EVERY = 10, 6, 3.5  # commands that are sent at once, and seconds between
 CUSTOMERS = 400
 LIMIT = 96  # MB for a gateway: half of 192
 
