RESP2: don't begin a large value that may break while answers are owed behind it

A client writes three requests at once; the first has a value of 1 MiB, whose server resets the connection after 200 KB.

Cause: `Connection.flush` began a value as soon as it was next in order, also with commands behind it. RESP2 can't take back a length that has been sent, so a break then ends the connection with all that is owed on it. And commands that came while a value was still arriving were taken and run, though its break would leave them without an answer.

Change: a value with anything behind it is deferred until it is whole, at most 1.5 s (a rest that is held back for 2 s is lost) and until 0.2 s before its client's deadline, and only while more of it can be read within the memory for streams; if it breaks meanwhile it fails alone. With nothing behind it, it is begun at once as before. Commands that come behind a value that is still arriving are left unread until it is whole, 1.5 s at most, and what is left of the value is read ahead for them; the time that they lay unread is taken off their client's time. A shutdown that refuses commands reads them all the same. A break of a value that was begun is logged, with what it takes along. Sending values is a module of its own (value_writer.py), the wait is one without I/O (deferral.py), and so are the ages of unread commands (arrival_times.py).

Two tests were changed.

--- a/lynxreel/fronts/calls.py
+++ b/lynxreel/fronts/calls.py
@@ -83,8 +83,9 @@
     streams = True
     counted = sent = seeks = False
     mark = b""
-    __slots__ = ("back", "cls", "connection", "customer", "first", "held", "id", "patience", "plan", "reply",
-                 "request", "reserved", "retry", "spread", "units", "strings")  # fmt: skip
+    __slots__ = ("back", "cls", "connection", "customer", "deadline", "first", "held", "id", "patience",
+                 "plan", "reply", "request", "reserved", "retry", "spread", "strings", "time_left",
+                 "units")  # fmt: skip
 
     def __init__(self, connection: AnswerWriter) -> None:
         self.connection = connection
@@ -93,6 +94,8 @@
         self.strings: list[bytes] = []
         self.held = 0  # bytes that count as held for this command and its answer
         self.reserved = 0  # those among them that stand for the answer until it comes
+        self.deadline = 0.0  # loop time until which its client waits
+        self.time_left = 0.0  # seconds until then when a large value began to arrive for it
 
     def parse(self, strings: list[bytes], terms: CallRules) -> None:
         """Parse a command, or raise InvalidCall. Servers are sent nothing that is not checked here."""
--- a/lynxreel/fronts/resp2.py
+++ b/lynxreel/fronts/resp2.py
@@ -17,6 +17,8 @@
 from lynxreel.fronts.listeners import Listener, ListenerFactory, OwnListenerFactory
 from lynxreel.fronts.paused import PausedConnections
 from lynxreel.fronts.turns import Turns
+from lynxreel.fronts.value_writer import ValueWriter
+from lynxreel.log import log
 from lynxreel.protocol import resp
 from lynxreel.relay.client_buffers import COMMAND_OVERHEAD, ClientBuffers, ClientInput, Reading
 from lynxreel.relay.stream import Stream
@@ -46,7 +48,8 @@
     """One client connection."""
 
     # Reasons to pause reading.
-    QUEUE_FULL, AWAITING_TURN, ANSWERS_UNREAD, BUFFERS_FULL, INPUT_FULL = 1, 2, 4, 8, 16
+    QUEUE_FULL, AWAITING_TURN, ANSWERS_UNREAD, BUFFERS_FULL, INPUT_FULL, VALUE_ARRIVING = 1, 2, 4, 8, 16, 32
+    OWN_DELAYS = AWAITING_TURN | BUFFERS_FULL | VALUE_ARRIVING  # no fault of the client
 
     def __init__(self, clients: Resp2Front) -> None:
         self._clients = clients
@@ -59,8 +62,7 @@
         self._taking_commands = False  # commands are being taken: it must not be closed between two of them
         self._input_closed = False  # nothing more is read; it is closed once all commands are answered
         self._cancelled = False  # the client has disconnected: its commands are given up
-        self._stream: Stream | None = None  # the value being sent as answer to the first queued command
-        self._stream_written = False  # all of that has been written to the transport, but perhaps not sent
+        self._values = ValueWriter(self, clients.loop)  # large answers
         self._held = 0  # bytes of open commands, of answers that wait, and of those in `_unsent`
         self._input = ClientInput(clients.buffers)
         self._window_update_in = 0.0  # seconds; 0 while input does not wait for room
@@ -90,6 +92,7 @@
         self._nothing_received = False
         if not self._input_closed:
             self._reader.feed(data)
+            self._values.arrivals.read(len(data))
             self._turn_delay = 0.0
             room = 0 if self.queue and self._clients.refusing else self._clients.turns.room()
             if room:
@@ -244,7 +247,10 @@
         try:
             if strings[0] in ARITY:
                 call.parse(strings, self._clients.terms)
-                call.patience = max(1, call.patience - round(self._turn_delay * 1e3))
+                now = self._clients.loop.time()
+                delay = self._turn_delay + self._values.arrivals.age(now, self._reader.pending)
+                call.patience = max(1, call.patience - round(delay * 1e3))
+                call.deadline = now + call.patience / 1e3
                 call.request = self._clients.engine.submit(call)
                 if not call.request:
                     # Rule 2: at a server, the id of an open request denotes a second copy of that request.
@@ -277,7 +283,9 @@
         if self._cancelled:
             return
         size = 0
-        if isinstance(reply, bytes):
+        if isinstance(reply, Stream):
+            call.time_left = call.deadline - self._clients.loop.time()
+        else:
             size = len(reply)
             if call.request:
                 self._clients.buffers.record_answer(size)
@@ -310,6 +318,8 @@
             self._pause_reasons &= ~self.BUFFERS_FULL
         if self._pause_reasons & self.INPUT_FULL:
             self._resume_input()
+        if self._pause_reasons & self.VALUE_ARRIVING:
+            self._values.look_behind()
 
     def _count_input(self) -> None:
         """Count what has been read and not taken; without room, the rest of a command stays unread."""
@@ -373,7 +383,7 @@
     def flush(self) -> None:
         """Write the answers that are next in order, until the client has to read some of them first."""
         queue = self.queue
-        while queue and self._stream is None and not self._unsent:
+        while queue and not self._values.is_sending and not self._unsent:
             reply = queue[0].reply
             if reply is None:
                 break
@@ -381,9 +391,11 @@
                 self._write_ready()
             elif reply.is_broken():
                 self._fail_value(queue[0], reply)
+            elif self._values.may_begin(reply, queue[0].time_left):
+                self._begin_value(reply)
             else:
-                self._begin_stream(reply)
-        if self._stream is not None:
+                break
+        if self._values.is_sending:
             return
         if self._pause_reasons:
             self._resume_after_answers()
@@ -424,64 +436,55 @@
         Once a value is begun, only the end of the connection tells that it is incomplete, and that would lose
         the answers behind it.
         """
+        self._values.end_deferral()
         stream.release()
         self.set_reply(call, FAILED)
 
-    def _begin_stream(self, stream: Stream) -> None:
-        """Start to stream a value that is next in order.
-
-        With the buffer limit at 0, `resume_writing` is called when all that was written has been sent.
-        """
-        self._stream, self._stream_written = stream, False
-        if self.transport.is_closing():
-            stream.release()
-            return
-        self.transport.set_write_buffer_limits(high=0)
+    def _begin_value(self, stream: Stream) -> None:
+        """Start to send a large value that is next in order."""
         if self._pause_reasons & self.ANSWERS_UNREAD:  # replaced by the check for stalled streams
             self._clients.waiting_since.pop(self, None)
             self._resume_reading(self.ANSWERS_UNREAD)
-        self._clients.streams[self] = (self.bytes_acknowledged, self._clients.loop.time())
-        self.transport.write(b"$%d\r\n" % stream.length)
-        stream.attach(self)
+        if not self.transport.is_closing():
+            self._clients.streams[self] = (-self._count_unacknowledged(), self._clients.loop.time())
+        self._values.begin(stream)
 
-    def write_piece(self, data: bytes) -> int:
-        """Write a piece of the streamed value; return how many bytes are still buffered."""
-        if self.transport.is_closing():
-            return 0
-        self.transport.write(data)
-        return self.transport.get_write_buffer_size()
+    def has_commands_behind(self) -> bool:
+        """Whether anything has come behind the command that is next to be answered."""
+        return len(self.queue) > 1 or not self._reader.empty() or has_unread(self.transport)
 
-    def finish(self) -> None:
-        """The streamed value is complete: write its last two bytes, which tell the client so."""
-        if self.transport.is_closing():
-            return
-        self._stream_written = True
-        self.transport.write(b"\r\n")
-        if not self.transport.get_write_buffer_size():
-            self._stream_sent()
-
-    def _stream_sent(self) -> None:
-        """The streamed value has been sent completely."""
-        assert self._stream is not None
-        self._stream.release()
-        self._stream = None
+    def hold_input(self) -> None:
+        """Read nothing while a value arrives; once new commands are refused, they have no effect anyway."""
+        if not self._clients.refusing:
+            self._pause_reading(self.VALUE_ARRIVING)
+
+    def release_input(self) -> None:
+        """Read on: the value has arrived, or commands have waited behind it for long enough."""
+        if self._pause_reasons & self.VALUE_ARRIVING:
+            self._resume_reading(self.VALUE_ARRIVING)
+
+    def value_sent(self) -> None:
+        """The large value has been sent completely."""
         self._clients.streams.pop(self, None)
-        self.transport.set_write_buffer_limits()
         self._release(self.queue.popleft().held)
         self.flush()
 
-    def abort(self) -> None:
-        """The streamed value can't be completed: closing in its middle tells the client so."""
+    def value_broken(self, stream: Stream) -> None:
+        """The value that is being sent can't be completed: closing in its middle tells the client so."""
+        log(
+            f"a value broke after {stream.forwarded} of {stream.length} bytes: "
+            f"its connection ends, with {len(self.queue) - 1} commands behind it"
+        )
+        self.transport.abort()
+
+    def stop_stalled_value(self) -> None:
+        """Nothing of the value has moved for too long, from its server or to its client."""
         self.transport.abort()
 
     @property
     def bytes_acknowledged(self) -> int:
-        """Bytes of the streamed value that the client's system has acknowledged, as far as that is known.
-
-        Negative while some of earlier answers have not been acknowledged.
-        """
-        assert self._stream is not None
-        return self._stream.forwarded - self._count_unacknowledged()
+        """Bytes of the large value that the client's system has acknowledged; see `ValueWriter`."""
+        return self._values.bytes_acknowledged
 
     def _pause_reading(self, reason: int) -> None:
         if not self._pause_reasons and not self.transport.is_closing():
@@ -506,7 +509,7 @@
         A client that only stops sending can't be told from one that has closed. Answers that were written
         before this are still sent.
         """
-        streaming = self._stream is not None
+        streaming = self._values.is_sending
         while not streaming and self.queue and isinstance(self.queue[0].reply, bytes):
             self._write_ready()
         self._cancel_pending()
@@ -535,9 +538,12 @@
         self._close()
 
     def _read_past_full_queue(self) -> None:
-        """Read on behind a full queue, once new commands are refused."""
-        if self._pause_reasons & self.QUEUE_FULL and not self._input_closed and self._clients.refusing:
+        """Read on behind a full queue or an arriving value, once new commands are refused."""
+        if self._input_closed or not self._clients.refusing:
+            return
+        if self._pause_reasons & self.QUEUE_FULL:
             self._resume_reading(self.QUEUE_FULL)
+        self.release_input()
 
     def _may_have_request(self) -> bool:
         """Whether a request may have arrived, in whole or in part, that has not been taken."""
@@ -566,7 +572,7 @@
         """The timeout for sending a command, or for reading answers, has expired: close."""
         if self._pause_reasons & self.ANSWERS_UNREAD or self.transport.is_closing():
             self.transport.abort()
-        elif self._pause_reasons & (self.AWAITING_TURN | self.BUFFERS_FULL) or self._rest_has_arrived():
+        elif self._pause_reasons & self.OWN_DELAYS or self._rest_has_arrived():
             self._clients.start_timeout(self)  # the delay is this process's own
         elif self._reader.empty():
             self._close()
@@ -575,7 +581,7 @@
 
     def pause_writing(self) -> None:
         """Stop reading from a client that does not read its answers, to bound memory."""
-        if self._stream is not None:
+        if self._values.is_sending:
             return  # reading from the server is paused instead
         self._unsent = self.transport.get_write_buffer_size()
         self._release(-self._unsent)
@@ -586,11 +592,8 @@
 
     def resume_writing(self) -> None:
         """The client reads its answers again."""
-        if self._stream is not None:
-            if self._stream_written:
-                self._stream_sent()
-            else:
-                self._stream.set_buffered(0)
+        if self._values.is_sending:
+            self._values.resume_writing()
             return
         self._clients.waiting_since.pop(self, None)
         self._clients.unread_answers.pop(self, None)
@@ -627,6 +630,7 @@
     def _cancel_pending(self) -> None:
         """Cancel all that is pending for a client that has disconnected."""
         self._input_closed = self._cancelled = True
+        self._values.end_deferral()
         for call in self.queue:
             if call.request:
                 self._clients.engine.client_disconnected(call.request)
@@ -777,7 +781,7 @@
             if (more := connection.bytes_acknowledged) > sent:
                 self.streams[connection] = (more, self.loop.time())
             elif self.loop.time() - since > STREAM_STALL_TIMEOUT:
-                connection.abort()
+                connection.stop_stalled_value()
         latest_start = self.loop.time() - MIN_IDLE_TIME
         excess = len(self.idle_since) - int(self._max_connections * MAX_IDLE_FRACTION)
         for connection, since in list(islice(self.idle_since.items(), max(0, excess))):
--- a/lynxreel/relay/budget.py
+++ b/lynxreel/relay/budget.py
@@ -4,9 +4,9 @@
 buffered may always read MIN_READ, so that none starves, whatever the others buffer. In total, no more than
 the budget plus MIN_READ for each stream is buffered.
 
-A stream that is being sent gains nothing from more than MAX_READ. One that waits for its turn reads ahead as
-long as half of the budget is free: what has arrived can't break any more, and its server's connection is
-free the sooner.
+A stream that is being sent gains nothing from more than MAX_READ, unless something waits for its end. One
+that waits for its turn, or is waited for, reads ahead as long as half of the budget is free: what has arrived
+can't break any more, and its server's connection is free the sooner.
 """
 
 from __future__ import annotations
@@ -45,17 +45,17 @@
             self.buffered += size - self._streams[stream]
             self._streams[stream] = size
 
-    def allowance(self, stream: Hashable, waiting: bool = False) -> int:
+    def allowance(self, stream: Hashable, ahead: bool = False) -> int:
         """Bytes of a stream that may be read now; 0: none until some of its buffered bytes have been written.
 
-        `waiting`: it waits for its turn, so nothing of it is written yet.
+        `ahead`: more of it is wanted than is written for now.
         Less than MIN_READ is not worth a read: a slow reader would be served in smaller and smaller pieces.
         """
         buffered = self._streams.get(stream, 0)
         available = min(self.read_size - buffered, self.limit - self.buffered)
-        if waiting:
-            ahead = int(self.limit * READ_AHEAD_FRACTION) - self.buffered
-            available = max(available, min(self._even_share - buffered, ahead))
+        if ahead:
+            free = int(self.limit * READ_AHEAD_FRACTION) - self.buffered
+            available = max(available, min(self._even_share - buffered, free))
         if available >= MIN_READ:
             return available
         return 0 if buffered else MIN_READ
--- a/tests/test_client_buffers.py
+++ b/tests/test_client_buffers.py
@@ -148,7 +148,7 @@
 def really_held(connection: Connection) -> int:
     replies = sum(len(c.reply) for c in connection.queue if isinstance(c.reply, bytes))
     commands = sum(sum(map(len, c.strings)) for c in connection.queue)
-    unsent = 0 if connection._stream is not None else connection.transport.get_write_buffer_size()
+    unsent = 0 if connection._values.is_sending else connection.transport.get_write_buffer_size()
     return replies + commands + connection._reader.pending + unsent
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -190,6 +190,10 @@
         slow = [await rig.client() for _ in range(12)]
         for _, writer in slow:
             writer.transport.pause_reading()  # type: ignore[attr-defined]
+        await wait_until(lambda: len(rig.clients.connections) == 12)
+        for connection in rig.clients.connections:  # the system must not take a whole value
+            own = connection.transport.get_extra_info("socket")
+            own.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
         sent = value(LARGE)
         for number, (_, writer) in enumerate(slow):
             writer.write(call(number))
@@ -222,12 +226,12 @@
         reader, writer = await rig.client()
         writer.write(call(1))
         server, _ = await rig.peer.receive()
+        server.write(head(size) + rest[:1_000])
+        await wait_until(lambda: bool(rig.clients.streams))
         writer.write(call(2))
-        await rig.peer.receive()
-        server.write(head(size) + rest)
+        server.write(rest[1_000:])
         if len(rest) < size:
             await server.drain()
-            await wait_until(lambda: bool(rig.clients.streams))
             server.close()
         got = b""
         try:
@@ -426,7 +430,7 @@
     budget = Budget(1 << 20)
     for number in range(3):
         budget.open(number)
-        budget.set_buffered(number, min(budget.allowance(number, waiting=True), 400_000))
+        budget.set_buffered(number, min(budget.allowance(number, ahead=True), 400_000))
     assert budget.buffered <= budget.limit // 2 + budget.read_size
     budget.open("sent")
     assert budget.allowance("sent") == budget.read_size
