Fronts: looks at what the system holds for a connection stand in one module

Need: the next changes ask in more places whether a connection has unread bytes, and the operators' listener has to ask it too; the two functions stood in the module of the lingering close, beside which socket_queues.py asks the system the other questions. Change: has_unread and peer_has_closed moved to socket_queues.py, unchanged. Measured: lint and types are clean, the tests of closes and relay pass; no change of behaviour.

--- a/lynxreel/fronts/http.py
+++ b/lynxreel/fronts/http.py
@@ -24,7 +24,7 @@
 from lynxreel.engine.shutdown_report import ConnectionHistory, ShutdownReport
 from lynxreel.fronts.draining import Draining, DrainTimes
 from lynxreel.fronts.forwarded import Network, forwarded_field
-from lynxreel.fronts.lingering import LingeringClose, has_unread, peer_has_closed
+from lynxreel.fronts.lingering import LingeringClose
 from lynxreel.fronts.listeners import Listener, ListenerFactory, OwnListenerFactory
 from lynxreel.openapi.admission import Admission, Head, Rejected, Whole
 from lynxreel.openapi.repeats import Found, Repeats
@@ -34,7 +34,7 @@
 from lynxreel.protocol.exchange import WAIT_FIELD, Answer, Exchange, Fields, pack
 from lynxreel.relay.client_buffers import COMMAND_OVERHEAD, ClientBuffers, ClientInput, Reading
 from lynxreel.relay.stream import Stream
-from lynxreel.socket_queues import enlarge_receive_buffer, unread_bytes
+from lynxreel.socket_queues import enlarge_receive_buffer, has_unread, peer_has_closed, unread_bytes
 
 READ_SIZE = 64 * 1024  # bytes of one read
 MAX_HEAD_BYTES = 16_384  # bytes of a request's head
--- a/lynxreel/fronts/lingering.py
+++ b/lynxreel/fronts/lingering.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from collections.abc import Callable
 
 LINGER_SECONDS = 1.0  # for the client to close its side, once all answers have been sent
@@ -54,21 +53,3 @@
             self._timer = self._loop.call_later(LINGER_SECONDS, self._check)
         else:
             self._transport.abort()
-
-
-def has_unread(transport: asyncio.Transport) -> bool:
-    """Whether bytes, or the client's close, are waiting to be read: closing now could cause a reset."""
-    return _poll(transport, select.POLLIN)
-
-
-def peer_has_closed(transport: asyncio.Transport) -> bool:
-    """Whether the client has closed the connection, even if bytes before that are unread."""
-    return _poll(transport, select.POLLRDHUP)
-
-
-def _poll(transport: asyncio.Transport, events: int) -> bool:
-    if transport.is_closing():
-        return True
-    poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), events)
-    return bool(poll.poll(0))
--- a/lynxreel/fronts/paused.py
+++ b/lynxreel/fronts/paused.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Protocol
 
-from lynxreel.fronts.lingering import peer_has_closed
+from lynxreel.socket_queues import peer_has_closed
 
 PAUSED_CHECK_INTERVAL = 0.05  # seconds between looks at connections that are not read for now
 
--- a/lynxreel/fronts/resp2.py
+++ b/lynxreel/fronts/resp2.py
@@ -13,7 +13,7 @@
 from lynxreel.engine.shutdown_report import ConnectionHistory, ShutdownReport
 from lynxreel.fronts.calls import ARITY, FAILED, Call, CallRules, InvalidCall
 from lynxreel.fronts.draining import Draining, DrainTimes
-from lynxreel.fronts.lingering import LingeringClose, has_unread, peer_has_closed
+from lynxreel.fronts.lingering import LingeringClose
 from lynxreel.fronts.listeners import Listener, ListenerFactory, OwnListenerFactory
 from lynxreel.fronts.paused import PausedConnections
 from lynxreel.fronts.turns import Turns
@@ -22,7 +22,13 @@
 from lynxreel.protocol import resp
 from lynxreel.relay.client_buffers import COMMAND_OVERHEAD, ClientBuffers, ClientInput, Reading
 from lynxreel.relay.stream import Stream
-from lynxreel.socket_queues import enlarge_receive_buffer, unacknowledged_bytes, unread_bytes
+from lynxreel.socket_queues import (
+    enlarge_receive_buffer,
+    has_unread,
+    peer_has_closed,
+    unacknowledged_bytes,
+    unread_bytes,
+)
 
 MAX_COMMAND_STRINGS = 16  # strings in a command; more than any that clients and their libraries send
 FIRST_COMMAND_TIMEOUT = 1.0  # seconds that a drain waits for a first command: longer than transit takes
--- a/lynxreel/socket_queues.py
+++ b/lynxreel/socket_queues.py
@@ -1,10 +1,11 @@
-"""How many bytes the system holds for a connection, in either direction (Linux, tcp(7))."""
+"""What the system holds for a connection, in either direction (Linux, tcp(7))."""
 
 from __future__ import annotations
 
 import array
 import asyncio
 import fcntl
+import select
 import socket
 import termios
 from contextlib import suppress
@@ -24,6 +25,16 @@
     return _queued(transport, termios.TIOCOUTQ)
 
 
+def has_unread(transport: asyncio.Transport) -> bool:
+    """Whether bytes, or the peer's close, are waiting to be read: closing now could cause a reset."""
+    return _poll(transport, select.POLLIN)
+
+
+def peer_has_closed(transport: asyncio.Transport) -> bool:
+    """Whether the peer has closed the connection, even if bytes before that are unread."""
+    return _poll(transport, select.POLLRDHUP)
+
+
 def enlarge_receive_buffer(transport: asyncio.Transport) -> None:
     """Have the system hold a message of 64 KiB whole, however it comes, before it closes the receive window.
 
@@ -35,6 +46,14 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, low_water)
 
 
+def _poll(transport: asyncio.Transport, events: int) -> bool:
+    if transport.is_closing():
+        return True
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), events)
+    return bool(poll.poll(0))
+
+
 def _queued(transport: asyncio.Transport, request: int) -> int | None:
     count = array.array("i", [0])
     try:
