Fronts: don't close over answers that a client is still reading

A client reads a value of 4 MB at 1 MB a second; its gateway is told to end 1 s after the request.

Cause: whoever closes asked whether this process still had something to send, and not whether the client's system had it: the system takes up to some MB. `end` took such a connection for idle; its end then lay behind the unread bytes, so that the client went on sending; the lingering close gave up after 1 s, or 2.5 s with bytes in the transport, however steadily its client read.

Change: a client whose answers wait for room (SIOCOUTQNSD, or bytes left in the transport) is not idle: its connection is read and answered until it has room for them, in service, in a drain and after its patience. A closed connection lingers until all is acknowledged, and 1 s from then. Both are judged by progress (delivery.py, without I/O): 10 s in which nothing is acknowledged end it, as they end a large value.

Two tests of full queues ended a connection once, right after many small answers, of which the system has not sent all yet: they now end it again, as each check of a drain does. A test of clients that read nothing sets the limit for what the system has, too: it was 2.5 s in the lingering close and is 10 s, as systems tell of slow readers in steps of 95 KB (measured: 1.3 s apart at 100,000 bytes a second, 6.6 s at 20,000).

--- a/lynxreel/daemon/instance.py
+++ b/lynxreel/daemon/instance.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Coroutine
 
 from lynxreel.daemon.lifecycle import Ask, Do, Empty, Event, Life, Reloaded, Started, State, Tick
@@ -90,7 +91,7 @@
         if getting.done():
             return getting.result()
         getting.cancel()
-        return Tick(self.node.clients.is_sending())
+        return Tick(self.node.is_sending())
 
     def started(self) -> None:
         """Clients are taken."""
@@ -123,8 +124,10 @@
             self.do(do)
 
     async def _drain(self) -> None:
+        times = self.life.times
         patience = max(0.0, self.life.answer_at - self.loop.time())
-        await self.node.drain(DrainTimes(self.announce, patience, self.life.times.cut_off))
+        cut_off = math.inf if times.finish_sending else times.cut_off  # the life ends it
+        await self.node.drain(DrainTimes(self.announce, patience, cut_off))
         if not self.node.connections:
             self._events.put_nowait(Empty())
 
--- a/lynxreel/fronts/draining.py
+++ b/lynxreel/fronts/draining.py
@@ -33,7 +33,7 @@
 
     announce: float  # idle connections stay open until then: clients that use them learn by the answer
     patience: float  # partly received requests may be completed until then
-    cut_off: float  # the drain ends, even if connections are left
+    cut_off: float  # the drain ends, even if connections are left; infinite if something else ends it
 
     @property
     def read_until(self) -> float:
@@ -63,7 +63,7 @@
         if self._suspend_task is None:
             times = DrainTimes(SUSPEND_ANNOUNCE_TIME, math.inf, math.inf)
             self._suspend_task = self._loop.create_task(
-                self._close_connections(times, SUSPENDED_CHECK_INTERVAL)
+                self._close_connections(times, SUSPENDED_CHECK_INTERVAL, until_empty=False)
             )
 
     def resume(self) -> None:
@@ -83,13 +83,13 @@
         notified, by the answer to a ping or to the request that would have crossed the close.
         """
         self.resume()
-        await self._close_connections(times, CHECK_INTERVAL)
+        await self._close_connections(times, CHECK_INTERVAL, until_empty=True)
 
-    async def _close_connections(self, times: DrainTimes, interval: float) -> None:
+    async def _close_connections(self, times: DrainTimes, interval: float, until_empty: bool) -> None:
         self.closing = self._await_partial = self._read_pending = True
         started, deadline = self._loop.time(), self._loop.time() + times.cut_off
         await asyncio.sleep(min(times.announce, times.patience))
-        while (now := self._loop.time()) < deadline and (self._front.connections or deadline == math.inf):
+        while (now := self._loop.time()) < deadline and (self._front.connections or not until_empty):
             self._await_partial, self._read_pending = (
                 now - started < times.patience,
                 now - started < times.read_until,
--- a/lynxreel/fronts/http.py
+++ b/lynxreel/fronts/http.py
@@ -22,6 +22,7 @@
 
 from lynxreel.engine.engine import RequestHandler
 from lynxreel.engine.shutdown_report import ConnectionHistory, ShutdownReport
+from lynxreel.fronts.delivery import Delivery
 from lynxreel.fronts.draining import Draining, DrainTimes
 from lynxreel.fronts.forwarded import Network, forwarded_field
 from lynxreel.fronts.lingering import LingeringClose
@@ -34,7 +35,14 @@
 from lynxreel.protocol.exchange import WAIT_FIELD, Answer, Exchange, Fields, pack
 from lynxreel.relay.client_buffers import COMMAND_OVERHEAD, ClientBuffers, ClientInput, Reading
 from lynxreel.relay.stream import Stream
-from lynxreel.socket_queues import enlarge_receive_buffer, has_unread, peer_has_closed, unread_bytes
+from lynxreel.socket_queues import (
+    enlarge_receive_buffer,
+    has_unread,
+    has_unsent,
+    peer_has_closed,
+    undelivered_bytes,
+    unread_bytes,
+)
 
 READ_SIZE = 64 * 1024  # bytes of one read
 MAX_HEAD_BYTES = 16_384  # bytes of a request's head
@@ -256,7 +264,8 @@
         self._nothing_received = True  # no byte received yet
         self._history = ConnectionHistory.NEW  # as of before the bytes that are being read
         self._answers_unread = self._input_closed = self._reading_paused = False
-        self._lingering = False  # it is being closed: what still arrives is discarded
+        self._lingering: LingeringClose | None = None  # while it is being closed
+        self._delivery: Delivery | None = None  # of answers that the client is still reading
 
     # --- reading ----------------------------------------------------------------------------------------
 
@@ -553,7 +562,7 @@
 
     def answer(self, status: int, content_type: str, body: bytes, headers: Fields) -> None:
         """Send the answer to the current request; then read the next one."""
-        self._call = None
+        self._call = self._delivery = None
         self._hold(0)
         h11_connection = self._h11
         if h11_connection is None or self.transport.is_closing():
@@ -617,13 +626,12 @@
         self._input.update(0, 0)
         if self.transport.is_closing() or self._lingering:
             return
-        self._lingering = True
-        LingeringClose(self.transport, self.front.loop, self.connection_lost)
+        self._lingering = LingeringClose(self.transport, self.front.loop, self.connection_lost)
 
     # --- ends -------------------------------------------------------------------------------------------
 
     def end(self, await_partial: bool = True, read_pending: bool = False) -> None:
-        """Close once no answer is pending.
+        """Close once no answer is pending, and the client has room for all of them.
 
         With `await_partial`, received bytes are read first, and the rest of a request is waited for. With
         `read_pending`, received bytes are read first.
@@ -631,7 +639,8 @@
         if self._call is not None or self._lingering or self.transport.is_closing():
             return
         if self._h11 is None and not self._buffer:
-            if not ((await_partial or read_pending) and has_unread(self.transport)):
+            awaited = (await_partial or read_pending) and has_unread(self.transport)
+            if not (awaited or self._is_behind()):
                 self._close()
         elif not await_partial:
             self._reject_and_close(503, "Shutting down", "the rest of the request did not come in time")
@@ -641,23 +650,49 @@
         missing = 0 if self.transport.is_closing() else self._missing()
         return 0 < missing <= (unread_bytes(self.transport) or 0)
 
+    def _is_behind(self) -> bool:
+        """Whether the client is so far behind its answers that it would learn late of a close."""
+        return self._answers_unread or has_unsent(self.transport)
+
+    def is_sending(self) -> bool:
+        """Whether answers are on their way to a client that reads them."""
+        if self._lingering is not None:
+            return self._lingering.is_delivering
+        return not self.transport.is_closing() and self._is_behind()
+
+    def _watch_delivery(self, now: float) -> None:
+        """Cut the client off if it has stopped reading its answers."""
+        acknowledged = -undelivered_bytes(self.transport)
+        if self._delivery is None:
+            self._delivery = Delivery(now, acknowledged)
+        self._delivery.update(now, acknowledged)
+        if self._delivery.has_stalled(now):
+            self.transport.abort()
+
     def check_timeouts(self, now: float) -> None:
         """Close the connection if its client has exceeded a timeout."""
-        if self._lingering or self._input.has_arrived or self._rest_has_arrived():
+        if self._lingering is not None or self._input.has_arrived or self._rest_has_arrived():
             return
+        waited = now - self._waiting_since
         if self.transport.is_closing():
-            if now - self._waiting_since > CLIENT_TIMEOUT:
-                self.transport.abort()
-        elif self._answers_unread or self._awaiting_request:
-            if now - self._waiting_since <= CLIENT_TIMEOUT:
-                return
-            if self._answers_unread:
+            if waited > CLIENT_TIMEOUT:
                 self.transport.abort()
-            elif self._buffer or self._h11 is not None:
-                self._reject_and_close(408, "Too slow")
+        elif self._answers_unread:
+            self._watch_delivery(now)
+        elif self._awaiting_request:
+            if waited > CLIENT_TIMEOUT:
+                self._time_out_request()
+        elif self._call is None and waited > IDLE_TIMEOUT and not has_unread(self.transport):
+            if self._is_behind():
+                self._watch_delivery(now)
             else:
                 self._close()
-        elif self._call is None and now - self._waiting_since > IDLE_TIMEOUT:
+
+    def _time_out_request(self) -> None:
+        """A request, or the rest of one, has not come in time."""
+        if self._buffer or self._h11 is not None:
+            self._reject_and_close(408, "Too slow")
+        elif not has_unread(self.transport):
             self._close()
 
     def pause_writing(self) -> None:
@@ -668,6 +703,7 @@
     def resume_writing(self) -> None:
         """The client reads its answers again."""
         self._answers_unread, self._waiting_since = False, self.front.loop.time()
+        self._delivery = None
         self._hold(0)
         if len(self._buffer) <= MAX_BUFFERED_BYTES:
             self._resume_reading()
@@ -802,6 +838,10 @@
             connection.check_timeouts(now)
         self._sweeping = self.loop.call_later(SWEEP_INTERVAL, self._sweep)
 
+    def is_sending(self) -> bool:
+        """Whether answers are being sent to clients that read them: those that don't are cut off in time."""
+        return any(connection.is_sending() for connection in self.connections)
+
     async def drain(self, times: DrainTimes) -> None:
         """Close the listeners, and each connection as soon as no answer is pending on it."""
         await self.unlisten()
--- a/lynxreel/fronts/resp2.py
+++ b/lynxreel/fronts/resp2.py
@@ -12,6 +12,7 @@
 from lynxreel.engine.engine import RequestHandler
 from lynxreel.engine.shutdown_report import ConnectionHistory, ShutdownReport
 from lynxreel.fronts.calls import ARITY, FAILED, Call, CallRules, InvalidCall
+from lynxreel.fronts.delivery import Delivery
 from lynxreel.fronts.draining import Draining, DrainTimes
 from lynxreel.fronts.lingering import LingeringClose
 from lynxreel.fronts.listeners import Listener, ListenerFactory, OwnListenerFactory
@@ -25,9 +26,10 @@
 from lynxreel.socket_queues import (
     enlarge_receive_buffer,
     has_unread,
+    has_unsent,
     peer_has_closed,
-    unacknowledged_bytes,
     unread_bytes,
+    undelivered_bytes,
 )
 
 MAX_COMMAND_STRINGS = 16  # strings in a command; more than any that clients and their libraries send
@@ -41,7 +43,6 @@
     0.05  # seconds without reading after an invalid command, to limit the CPU time of repeats
 )
 CLIENT_TIMEOUT = 2.5  # seconds to send a first command, to complete one (slow ones take 2), to read answers
-STREAM_STALL_TIMEOUT = 10.0  # seconds without a byte of a streamed value, from the server or to the client
 SWEEP_INTERVAL = 0.25  # seconds between checks for expired timeouts
 FIRST_WINDOW_UPDATE = 0.05  # seconds after which a client that waits for room is read a little; then doubled
 MAX_EVICTION_CANDIDATES = 16  # connections examined for one that can be closed to make room
@@ -247,6 +248,7 @@
         self._hold(call, COMMAND_OVERHEAD + sum(map(len, strings)) + call.reserved)
         self.queue.append(call)
         self._clients.idle_since.pop(self, None)
+        self._clients.deliveries.pop(self, None)
         if self._reader.skipped:
             call.refused(0)
             return True
@@ -452,7 +454,9 @@
             self._clients.waiting_since.pop(self, None)
             self._resume_reading(self.ANSWERS_UNREAD)
         if not self.transport.is_closing():
-            self._clients.streams[self] = (-self._count_unacknowledged(), self._clients.loop.time())
+            self._clients.streams[self] = Delivery(
+                self._clients.loop.time(), -undelivered_bytes(self.transport)
+            )
         self._values.begin(stream)
 
     def has_commands_behind(self) -> bool:
@@ -481,7 +485,11 @@
             f"a value broke after {stream.forwarded} of {stream.length} bytes: "
             f"its connection ends, with {len(self.queue) - 1} commands behind it"
         )
-        self.transport.abort()
+        if self._values.bytes_acknowledged >= 0:
+            self.transport.abort()
+        else:  # earlier answers are whole, and have not arrived yet
+            self._cancel_pending()
+            self._close()
 
     def stop_stalled_value(self) -> None:
         """Nothing of the value has moved for too long, from its server or to its client."""
@@ -525,7 +533,7 @@
             self._clients.start_timeout(self)  # closes it if the answers are never read
 
     def end(self, await_partial: bool = True, read_pending: bool = False) -> None:
-        """Close once no answer is pending.
+        """Close once no answer is pending, and the client has room for all of them.
 
         With `await_partial`, received bytes are read first, and the rest of a command is waited for. With
         `read_pending`, complete commands are read first: the client may have written them long before.
@@ -539,7 +547,7 @@
         may_have_request = (await_partial and self._may_have_request()) or (
             read_pending and self._may_have_unread()
         )
-        if may_have_request and not self._input_closed:
+        if not self._input_closed and (may_have_request or self._clients.is_delivering(self)):
             return
         self._close()
 
@@ -571,8 +579,8 @@
         self._input_closed = True
         if self.transport.is_closing() or self in self._clients.lingering:
             return
-        self._clients.linger(self)
-        LingeringClose(self.transport, self._clients.loop, self.connection_lost)
+        closing = LingeringClose(self.transport, self._clients.loop, self.connection_lost)
+        self._clients.linger(self, closing)
 
     def time_out(self) -> None:
         """The timeout for sending a command, or for reading answers, has expired: close."""
@@ -591,7 +599,7 @@
             return  # reading from the server is paused instead
         self._unsent = self.transport.get_write_buffer_size()
         self._release(-self._unsent)
-        self._unacknowledged = self._count_unacknowledged()
+        self._unacknowledged = undelivered_bytes(self.transport)
         self._clients.unread_answers[self] = None
         self._pause_reading(self.ANSWERS_UNREAD)
         self._clients.start_timeout(self, restart=True)
@@ -614,12 +622,12 @@
 
         The system tells of room for more only in steps, which may be as long as the timeout for slow clients.
         """
-        before, self._unacknowledged = self._unacknowledged, self._count_unacknowledged()
+        before, self._unacknowledged = self._unacknowledged, undelivered_bytes(self.transport)
         return self._unacknowledged < before
 
-    def _count_unacknowledged(self) -> int:
-        """Bytes that the client's system has not acknowledged, in this process and below as far as known."""
-        return self.transport.get_write_buffer_size() + (unacknowledged_bytes(self.transport) or 0)
+    def has_unsent(self) -> bool:
+        """Whether answers wait for room at the client, which has not read what was sent before."""
+        return bool(self._unsent) or has_unsent(self.transport)
 
     def has_left(self) -> bool:
         """Whether the client has disconnected, even if that has not been read yet."""
@@ -668,11 +676,10 @@
         self.connections: set[Connection] = set()
         self.waiting_since: dict[Connection, float] = {}  # clients that must send or read; oldest first
         self.unread_answers: dict[Connection, None] = {}  # clients that have to read before more is written
-        self.streams: dict[
-            Connection, tuple[int, float]
-        ] = {}  # streamed values: bytes acknowledged, and since when
+        self.streams: dict[Connection, Delivery] = {}  # large values that are being sent
+        self.deliveries: dict[Connection, Delivery] = {}  # other answers that clients are still reading
         self.idle_since: dict[Connection, float] = {}  # no command is open; oldest first
-        self.lingering: dict[Connection, None] = {}  # connections being closed; oldest first
+        self.lingering: dict[Connection, LingeringClose] = {}  # connections being closed; oldest first
         self.paused = PausedConnections(loop)
         self.turns = Turns(loop.call_soon, engine.is_behind)
         self.read_buffer = memoryview(bytearray(READ_SIZE))  # each read is processed before the next one
@@ -713,7 +720,8 @@
         self.start_timeout(connection)
         if len(self.connections) <= self._max_connections:
             return
-        victim = next(iter(self.lingering), None) or self._choose_victim(connection)
+        delivered = (c for c, closing in self.lingering.items() if not closing.is_delivering)
+        victim = next(delivered, None) or self._choose_victim(connection)
         self.remove(victim)
         victim.transport.abort()
 
@@ -738,13 +746,29 @@
         """Connections that have to send a command and have none in the queue, the oldest first."""
         return (connection for connection in self.waiting_since if not connection.queue)
 
-    def linger(self, connection: Connection) -> None:
+    def is_delivering(self, connection: Connection) -> bool:
+        """Whether a client is so far behind its last answers that it would learn late of a close.
+
+        Until then it may send further commands. It is watched until it has room for all answers.
+        """
+        if not connection.has_unsent():
+            self.deliveries.pop(connection, None)
+            return False
+        if connection not in self.deliveries:
+            self.idle_since.pop(connection, None)
+            delivery = Delivery(self.loop.time(), -undelivered_bytes(connection.transport))
+            self.deliveries[connection] = delivery
+        return True
+
+    def linger(self, connection: Connection, closing: LingeringClose) -> None:
         """Register a connection that is being closed; it counts until it has ended."""
         self.waiting_since.pop(connection, None)
         self.unread_answers.pop(connection, None)
         self.idle_since.pop(connection, None)
+        self.streams.pop(connection, None)
+        self.deliveries.pop(connection, None)
         self.paused.discard(connection)
-        self.lingering[connection] = None
+        self.lingering[connection] = closing
 
     def start_timeout(self, connection: Connection, restart: bool = False) -> None:
         """Start the timeout of a client that has to send or to read; `restart` one that runs already."""
@@ -765,6 +789,7 @@
         self.waiting_since.pop(connection, None)
         self.idle_since.pop(connection, None)
         self.streams.pop(connection, None)
+        self.deliveries.pop(connection, None)
         self.unread_answers.pop(connection, None)
         self.lingering.pop(connection, None)
         self.paused.discard(connection)
@@ -783,11 +808,7 @@
                 break
             del self.waiting_since[connection]
             connection.time_out()
-        for connection, (sent, since) in list(self.streams.items()):
-            if (more := connection.bytes_acknowledged) > sent:
-                self.streams[connection] = (more, self.loop.time())
-            elif self.loop.time() - since > STREAM_STALL_TIMEOUT:
-                connection.stop_stalled_value()
+        self._check_deliveries()
         latest_start = self.loop.time() - MIN_IDLE_TIME
         excess = len(self.idle_since) - int(self._max_connections * MAX_IDLE_FRACTION)
         for connection, since in list(islice(self.idle_since.items(), max(0, excess))):
@@ -797,6 +818,20 @@
             connection.end()
         self.loop.call_later(SWEEP_INTERVAL, self.sweep)
 
+    def _check_deliveries(self) -> None:
+        """Cut off clients that have stopped reading; those that have all of their answers are idle."""
+        now = self.loop.time()
+        for connection, value in list(self.streams.items()):
+            value.update(now, connection.bytes_acknowledged)
+            if value.has_stalled(now):
+                connection.stop_stalled_value()
+        for connection, answers in list(self.deliveries.items()):
+            answers.update(now, -undelivered_bytes(connection.transport))
+            if not self.is_delivering(connection):
+                self.mark_idle(connection)
+            elif answers.has_stalled(now):
+                connection.transport.abort()
+
     @property
     def addresses(self) -> list[tuple[str, int]]:
         """The addresses that it listens at."""
@@ -823,7 +858,9 @@
 
     def is_sending(self) -> bool:
         """Whether answers are being sent to clients that read them: those that don't are cut off in time."""
-        return bool(self.streams or self.unread_answers)
+        if self.streams or self.unread_answers or self.deliveries:
+            return True
+        return any(closing.is_delivering for closing in self.lingering.values())
 
     async def drain(self, times: DrainTimes) -> None:
         """Close the listeners, and each connection as soon as no answer is pending on it."""
--- a/lynxreel/fronts/value_writer.py
+++ b/lynxreel/fronts/value_writer.py
@@ -13,7 +13,7 @@
 from lynxreel.fronts.arrival_times import ArrivalTimes
 from lynxreel.relay.deferral import MAX_DEFERRAL, Deferral
 from lynxreel.relay.stream import Stream
-from lynxreel.socket_queues import unacknowledged_bytes, unread_bytes
+from lynxreel.socket_queues import unread_bytes, undelivered_bytes
 
 
 class ValueConnection(Protocol):
@@ -162,4 +162,4 @@
         Negative while some of earlier answers have not been acknowledged.
         """
         assert self.stream is not None
-        return self.stream.forwarded - self.buffered - (unacknowledged_bytes(self._connection.transport) or 0)
+        return self.stream.forwarded - undelivered_bytes(self._connection.transport)
--- a/lynxreel/node.py
+++ b/lynxreel/node.py
@@ -475,6 +475,10 @@
         if self.cover is not None:
             await self.cover.hand_off()
 
+    def is_sending(self) -> bool:
+        """Whether answers are being sent to clients that read them."""
+        return self.clients.is_sending() or (self.web is not None and self.web.is_sending())
+
     def boxes(self) -> dict[str, object]:
         """What is believed of the servers and why, for the operators."""
         if isinstance(self.source, Discovery):
--- a/lynxreel/socket_queues.py
+++ b/lynxreel/socket_queues.py
@@ -13,6 +13,7 @@
 # Bytes. A segment of the loopback network takes 128 KiB of a buffer until its last byte is read, and without
 # room for one more the receive window is closed.
 RECEIVE_BUFFER = 384 * 1024
+SIOCOUTQNSD = 0x894B  # linux/sockios.h: bytes that the system has not sent yet
 
 
 def unread_bytes(transport: asyncio.Transport) -> int | None:
@@ -20,9 +21,18 @@
     return _queued(transport, termios.FIONREAD)
 
 
-def unacknowledged_bytes(transport: asyncio.Transport) -> int | None:
-    """Bytes that were handed to the system and not acknowledged by the peer; None where it does not tell."""
-    return _queued(transport, termios.TIOCOUTQ)
+def undelivered_bytes(transport: asyncio.Transport) -> int:
+    """Bytes that the peer has not acknowledged, in this process and below, as far as that is known."""
+    below = None if transport.is_closing() else _queued(transport, termios.TIOCOUTQ)
+    return transport.get_write_buffer_size() + (below or 0)
+
+
+def has_unsent(transport: asyncio.Transport) -> bool:
+    """Whether bytes that were handed to the system wait for room at the peer, as far as that is known.
+
+    If so the peer learns late of the end of the connection, which is sent behind them.
+    """
+    return not transport.is_closing() and bool(_queued(transport, SIOCOUTQNSD))
 
 
 def has_unread(transport: asyncio.Transport) -> bool:
--- a/tests/test_client_buffers.py
+++ b/tests/test_client_buffers.py
@@ -13,7 +13,7 @@
 from lynxreel.backends.pools import Servers
 from lynxreel.backends.resp2 import Resp2
 from lynxreel.engine.engine import Engine
-from lynxreel.fronts import resp2
+from lynxreel.fronts import delivery, resp2
 from lynxreel.fronts.resp2 import Connection, Resp2Front
 from lynxreel.protocol.resp import Reader
 from lynxreel.relay.budget import Budget
@@ -339,7 +339,7 @@
     reads: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # The system has taken so much that a steady client makes no room for more within the timeout.
-    monkeypatch.setattr(resp2, "STREAM_STALL_TIMEOUT", 0.4)
+    monkeypatch.setattr(delivery, "STALL_TIMEOUT", 0.4)
     monkeypatch.setattr(resp2, "SWEEP_INTERVAL", 0.05)
 
     async def scenario(rig: Rig) -> None:
@@ -357,7 +357,7 @@
 def test_a_large_value_behind_another_is_not_cut_off_before_its_client_comes_to_it(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(resp2, "STREAM_STALL_TIMEOUT", 0.4)
+    monkeypatch.setattr(delivery, "STALL_TIMEOUT", 0.4)
     monkeypatch.setattr(resp2, "SWEEP_INTERVAL", 0.05)
 
     async def scenario(rig: Rig) -> None:
--- a/tests/test_client_closes.py
+++ b/tests/test_client_closes.py
@@ -9,7 +9,7 @@
 import pytest
 
 from lynxreel.engine.engine import Engine
-from lynxreel.fronts import draining, http, lingering, resp2
+from lynxreel.fronts import delivery, draining, http, lingering, resp2
 from lynxreel.fronts.draining import DrainTimes
 from lynxreel.fronts.resp2 import MAX_OPEN_COMMANDS, Connection, Resp2Front
 from lynxreel.fronts.turns import COMMANDS_PER_ROUND
@@ -310,6 +310,7 @@
 ) -> None:
     # To save memory and descriptors. Taking commands in turns is no sign that the client reads.
     monkeypatch.setattr(resp2, "CLIENT_TIMEOUT", 0.5)
+    monkeypatch.setattr(delivery, "STALL_TIMEOUT", 0.5)  # for what the system has of the answers
 
     async def scenario(engine: EngineStandIn, clients: Resp2Front, connect: Connect) -> None:
         client, connection = await connect()
@@ -343,6 +344,13 @@
     return client, connection, calls
 
 
+def end_once_sent(connection: Connection) -> None:
+    """End a connection as the checks of a drain do: again, until the system has sent many small answers."""
+    connection.end()
+    if not connection._input_closed:
+        asyncio.get_running_loop().call_later(draining.CHECK_INTERVAL, end_once_sent, connection)
+
+
 def test_commands_behind_a_full_queue_are_read_and_refused_once_new_ones_are() -> None:
     # Left unread until the queue is answered, they are too many for the time before the kill.
     engine, behind = RefusingEngine(), 10 * COMMANDS_PER_ROUND + 5
@@ -355,7 +363,7 @@
         assert engine.most_queued <= MAX_OPEN_COMMANDS + 1 + COMMANDS_PER_ROUND
         for answered in calls:
             answered.failed()
-        connection.end()
+        end_once_sent(connection)
         assert await client.read_all() == b"-ERR failed\r\n" * MAX_OPEN_COMMANDS + REFUSED * behind
 
     play(scenario, engine=engine)
@@ -374,7 +382,7 @@
         for answered in calls:
             answered.failed()
         await until(lambda: engine.refused == behind)  # there is room again
-        connection.end()
+        end_once_sent(connection)
         assert await client.read_all() == b"-ERR failed\r\n" * MAX_OPEN_COMMANDS + REFUSED * behind
 
     play(scenario, engine=engine)
--- a/tests/test_deferred_values.py
+++ b/tests/test_deferred_values.py
@@ -183,6 +183,31 @@
     with_begun_value(scenario)
 
 
+def test_earlier_answers_arrive_though_a_value_behind_them_breaks() -> None:
+    # Guards against whole answers that a reset throws away, as commands lie unread at the break.
+    async def scenario(rig: Rig) -> None:
+        reader, writer = await rig.client()
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        await wait_until(lambda: bool(rig.clients.connections))
+        (connection,) = rig.clients.connections
+        own = connection.transport.get_extra_info("socket")
+        own.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 << 20)
+        first, second = await ask(rig, writer, 2)
+        first.write(head(1_000_000) + value(1_000_000) + TAIL)
+        await wait_until(lambda: rig.engine.ended.qsize() == 1 and not rig.clients.streams)
+        second.write(head(100_000) + value(100))
+        await wait_until(lambda: bool(rig.clients.streams))
+        writer.write(call(3))
+        await wait_until(lambda: connection._values.arrivals.oldest_age(1e9) > 0)
+        reset(second)
+        await wait_until(lambda: connection in rig.clients.lingering)
+        writer.transport.resume_reading()  # type: ignore[attr-defined]
+        got = await reader.read()
+        assert got == b"$1000000\r\n%b\r\n$100000\r\n%b" % (value(1_000_000), value(100))
+
+    run_scenario(scenario, budget=8 << 20)
+
+
 def test_commands_behind_a_value_are_read_once_it_has_arrived_though_its_client_does_not_read() -> None:
     # Guards against sound requests that wait for as long as their client takes to read a value.
     async def scenario(
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -437,7 +437,7 @@
 
 
 def test_a_value_that_stalls_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("lynxreel.fronts.resp2.STREAM_STALL_TIMEOUT", 0.1)
+    monkeypatch.setattr("lynxreel.fronts.delivery.STALL_TIMEOUT", 0.1)
     monkeypatch.setattr("lynxreel.fronts.resp2.SWEEP_INTERVAL", 0.02)
 
     async def scenario(rig: Rig) -> None:
