RESP2: make room only by connections on which no request would be lost

Cause: a new connection beyond the limit closes the one that has idled longest with nothing unread in its socket. A command that has been read and waits for its turn lies in the connection's reader: not in the socket any more, not in its queue yet, and the connection counts as idle until the turn comes. So one that wakes up after a rest was the first to go.

Change: one question, `owes_nothing`, is asked of each candidate, idle or silent: no command open, none read and not taken, nothing unread, and all answers acknowledged by the client's system. Connections with unread answers counted as silent clients before, as both have a timeout running, and could be closed over what their client was reading. Slow readers that are met among the candidates are watched as such, so that 16 of them don't hide an idle connection behind them.

Evidence: each test fails without its part (waiting for a turn, resting and silent; unacknowledged answers; readers moved out).

--- a/lynxreel/fronts/resp2.py
+++ b/lynxreel/fronts/resp2.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from itertools import islice
 from typing import cast
 
@@ -625,6 +625,16 @@
         before, self._unacknowledged = self._unacknowledged, undelivered_bytes(self.transport)
         return self._unacknowledged < before
 
+    def owes_nothing(self) -> bool:
+        """Whether no request would be lost if the connection ended at once.
+
+        No command is open, or has been read and waits to be taken; none waits unread, and the client's system
+        has all answers. A part of a command is none.
+        """
+        if self.queue or self._pause_reasons & ~self.INPUT_FULL or has_unread(self.transport):
+            return False
+        return not undelivered_bytes(self.transport)
+
     def has_unsent(self) -> bool:
         """Whether answers wait for room at the client, which has not read what was sent before."""
         return bool(self._unsent) or has_unsent(self.transport)
@@ -721,26 +731,24 @@
         if len(self.connections) <= self._max_connections:
             return
         delivered = (c for c, closing in self.lingering.items() if not closing.is_delivering)
-        victim = next(delivered, None) or self._choose_victim(connection)
+        victim = next(delivered, None) or self._choose_victim() or connection
         self.remove(victim)
         victim.transport.abort()
 
-    def _choose_victim(self, newest: Connection) -> Connection:
-        """Choose one to close. One with unread bytes is avoided: closing it would reset a request."""
-        silent = next(
-            (
-                c
-                for c in islice(self._silent_connections(), MAX_EVICTION_CANDIDATES)
-                if not has_unread(c.transport)
-            ),
-            newest,
-        )
+    def _choose_victim(self) -> Connection | None:
+        """Choose one to close: one that nothing would be lost on. None if there is none."""
+        silent = self._first_evictable(self._silent_connections())
         if len(self.waiting_since) > max(1, self._max_connections * MAX_SILENT_FRACTION):
             return silent
-        return next(
-            (c for c in islice(self.idle_since, MAX_EVICTION_CANDIDATES) if not has_unread(c.transport)),
-            silent,
-        )
+        return self._first_evictable(self.idle_since) or silent
+
+    def _first_evictable(self, candidates: Iterable[Connection]) -> Connection | None:
+        for connection in list(islice(candidates, MAX_EVICTION_CANDIDATES)):
+            if connection.owes_nothing():
+                return connection
+            if connection in self.idle_since:
+                self.is_delivering(connection)  # if so it is no candidate until its client has read on
+        return None
 
     def _silent_connections(self) -> Iterator[Connection]:
         """Connections that have to send a command and have none in the queue, the oldest first."""
--- a/tests/test_client_closes.py
+++ b/tests/test_client_closes.py
@@ -186,6 +186,39 @@
     play(scenario, max_connections=2)
 
 
+@pytest.mark.parametrize("first", [False, True], ids=["resting", "silent"])
+def test_a_connection_whose_command_waits_for_its_turn_is_not_closed_to_make_room(first: bool) -> None:
+    # Guards against requests that were read and never answered: in turn, their connection counted as idle.
+    class BusyEngine(EngineStandIn):
+        behind = False
+
+        def is_behind(self) -> bool:
+            return self.behind
+
+    engine = BusyEngine()
+
+    async def scenario(__: EngineStandIn, clients: Resp2Front, connect: Connect) -> None:
+        if first:
+            oldest = Client(clients.port)
+            await until(lambda: bool(clients.connections))
+            (of_oldest,) = clients.connections
+        else:
+            oldest, of_oldest = await connect()
+        second, _ = await connect()
+        engine.behind = True
+        arrive(oldest, of_oldest, call(1))
+        await until(lambda: bool(of_oldest._pause_reasons & Connection.AWAITING_TURN))
+        third = Client(clients.port)
+        assert await second.read_all() == b""
+        engine.behind = False
+        (await engine.calls.get()).served(b"one")
+        assert await oldest.read(len(SERVED)) == SERVED
+        for client in (oldest, third):
+            client.socket.close()
+
+    play(scenario, max_connections=2, engine=engine)
+
+
 def test_a_closing_connection_makes_room_before_one_that_is_in_use() -> None:
     async def scenario(engine: EngineStandIn, clients: Resp2Front, connect: Connect) -> None:
         idle, _ = await connect()
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -143,6 +143,27 @@
     play(scenario)
 
 
+def test_new_connections_make_room_by_an_idle_one_and_not_by_slow_readers() -> None:
+    # Guards against making room by what a client is still reading, and against looking at readers alone.
+    readers = resp2.MAX_EVICTION_CANDIDATES + 1
+
+    async def scenario(engine: EngineStandIn, clients: Resp2Front, connect: Connect) -> None:
+        slow = [await slow_reader(engine, connect) for _ in range(readers)]
+        idle, _ = await connect()
+        shut = Client(clients.port)  # while the readers are found to be reading
+        assert await shut.read_all() == b""
+        newest, _ = await connect()
+        assert await idle.read_all() == b""
+        newest.socket.sendall(PING)
+        assert await newest.read(len(PONG)) == PONG
+        for client in (shut, idle, newest):
+            client.socket.close()
+        for client, _ in slow:
+            assert await client.read(COUNT * len(ANSWER)) == ANSWER * COUNT
+
+    play(scenario, max_connections=readers + 1)
+
+
 def test_new_connections_do_not_cut_off_answers_of_one_that_is_being_closed() -> None:
     # Guards against making room by what a client is still reading.
     async def scenario(engine: EngineStandIn, clients: Resp2Front, connect: Connect) -> None:
