Test: descriptors that a process closes while they are listed are no failure

Seen: test_without_an_operator_address_only_the_client_port_is_open failed about once in 20 runs: os.readlink found a descriptor gone that the listing had named. Cause, traced: a probe that listed the descriptors of the same process for 4 s (46,309 times) found 14 gone between the listing and the look. 3 were the memory report's look at its own page under proc, at 1.0, 2.0 and 3.0 s; the others were sockets of calls to discovery, which are given up and made anew four times a second, as the test's discovery answers nothing. Change: the test passes over a descriptor that is gone. It is as strict: what is closed is no open port, and a listener of the client port that were missed would fail the comparison, which has to be equal.

--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -201,9 +201,10 @@
             with watch, connect(listen, process):
                 inodes = set()
                 for entry in os.scandir(f"/proc/{process.pid}/fd"):
-                    target = os.readlink(entry.path)
-                    if target.startswith("socket:["):
-                        inodes.add(target[8:-1])
+                    with contextlib.suppress(FileNotFoundError):  # closed meanwhile
+                        target = os.readlink(entry.path)
+                        if target.startswith("socket:["):
+                            inodes.add(target[8:-1])
                 table = Path(f"/proc/{process.pid}/net/tcp").read_text().splitlines()[1:]
                 lines = [line.split() for line in table]
                 listening = [line[1] for line in lines if line[3] == "0A" and line[9] in inodes]
