RESP2: no close over a first command that lies unread, nor over a value that is deferred

A process that was told to end asks at its last moment whether answers are on their way; a value that waits to be begun, with answers behind it, did not count.

--- a/lynxreel/fronts/resp2.py
+++ b/lynxreel/fronts/resp2.py
@@ -356,8 +356,10 @@
             self._window_update_in = 0.0
         return reading
 
-    def _rest_has_arrived(self) -> bool:
-        """Whether the rest of a command is in the socket, and only this process is slow to read it."""
+    def _has_arrived(self) -> bool:
+        """Whether a command or its rest is in the socket, and only this process is slow to read it."""
+        if self._reader.empty():
+            return has_unread(self.transport)
         return 0 < self._reader.missing <= (unread_bytes(self.transport) or 0)
 
     def _schedule_window_update(self) -> None:
@@ -463,6 +465,10 @@
         """Whether anything has come behind the command that is next to be answered."""
         return len(self.queue) > 1 or not self._reader.empty() or has_unread(self.transport)
 
+    def is_deferring(self) -> bool:
+        """Whether a large value is next in order, and is deferred."""
+        return self._values.is_deferring
+
     def hold_input(self) -> None:
         """Read nothing while a value arrives; once new commands are refused, they have no effect anyway."""
         if not self._clients.refusing:
@@ -586,7 +592,7 @@
         """The timeout for sending a command, or for reading answers, has expired: close."""
         if self._pause_reasons & self.ANSWERS_UNREAD or self.transport.is_closing():
             self.transport.abort()
-        elif self._pause_reasons & self.OWN_DELAYS or self._rest_has_arrived():
+        elif self._pause_reasons & self.OWN_DELAYS or self._has_arrived():
             self._clients.start_timeout(self)  # the delay is this process's own
         elif self._reader.empty():
             self._close()
@@ -868,7 +874,9 @@
         """Whether answers are being sent to clients that read them: those that don't are cut off in time."""
         if self.streams or self.unread_answers or self.deliveries:
             return True
-        return any(closing.is_delivering for closing in self.lingering.values())
+        if any(closing.is_delivering for closing in self.lingering.values()):
+            return True
+        return any(connection.is_deferring() for connection in self.connections)
 
     async def drain(self, times: DrainTimes) -> None:
         """Close the listeners, and each connection as soon as no answer is pending on it."""
--- a/lynxreel/fronts/value_writer.py
+++ b/lynxreel/fronts/value_writer.py
@@ -56,6 +56,11 @@
         """Whether a value has been begun and has not been sent completely."""
         return self.stream is not None
 
+    @property
+    def is_deferring(self) -> bool:
+        """Whether the value that is next in order is deferred."""
+        return self._deferral is not None
+
     def may_begin(self, stream: Stream, time_left: float) -> bool:
         """Whether a value that is next in order is begun now; else `flush` is called when it may be.
 
--- a/tests/test_client_closes.py
+++ b/tests/test_client_closes.py
@@ -219,6 +219,28 @@
     play(scenario, max_connections=2, engine=engine)
 
 
+def test_a_first_command_that_lies_unread_is_no_silence_of_its_client(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a close over a request that had arrived, and that this process was slow to read.
+    monkeypatch.setattr(resp2, "CLIENT_TIMEOUT", 0.02)
+    monkeypatch.setattr(resp2, "SWEEP_INTERVAL", 0.01)
+
+    async def scenario(engine: EngineStandIn, clients: Resp2Front, connect: Connect) -> None:
+        client = Client(clients.port)
+        await until(lambda: bool(clients.connections))
+        (connection,) = clients.connections
+        connection.transport.pause_reading()
+        arrive(client, connection, call(1))
+        await asyncio.sleep(0.1)
+        connection.transport.resume_reading()
+        (await engine.calls.get()).served(b"one")
+        assert await client.read(len(SERVED)) == SERVED
+        client.socket.close()
+
+    play(scenario)
+
+
 def test_a_closing_connection_makes_room_before_one_that_is_in_use() -> None:
     async def scenario(engine: EngineStandIn, clients: Resp2Front, connect: Connect) -> None:
         idle, _ = await connect()
--- a/tests/test_deferred_values.py
+++ b/tests/test_deferred_values.py
@@ -87,6 +87,18 @@
     run_scenario(scenario)
 
 
+def test_a_process_does_not_end_while_a_value_is_deferred() -> None:
+    async def scenario(rig: Rig) -> None:
+        reader, writer = await rig.client()
+        servers = await ask(rig, writer, 2)
+        assert not rig.clients.is_sending()
+        servers[0].write(head(100_000) + value(60_000))
+        await wait_until(lambda: rig.budget.buffered == 60_000)
+        assert rig.clients.is_sending()
+
+    run_scenario(scenario)
+
+
 def test_a_value_with_commands_behind_it_is_begun_as_soon_as_it_is_whole() -> None:
     async def scenario(rig: Rig) -> None:
         reader, writer = await rig.client()
