RESP2 front: its connections and what makes room among them are a module of their own

Need: fronts/resp2.py had grown to 880 lines, with the life of a connection, the front, and the table of which connections wait, idle, send or close in one place. Moved as it was; tests name the table where they named the front. Measured: lint and types are clean, 202 tests of clients, turns, closes, relay, buffers, values and slow readers pass.

--- a/lynxreel/fronts/resp2.py
+++ b/lynxreel/fronts/resp2.py
@@ -5,13 +5,13 @@
 import asyncio
 import math
 from collections import deque
-from collections.abc import Iterable, Iterator
-from itertools import islice
 from typing import cast
 
 from lynxreel.engine.engine import RequestHandler
 from lynxreel.engine.shutdown_report import ConnectionHistory, ShutdownReport
+from lynxreel.fronts import connection_table
 from lynxreel.fronts.calls import ARITY, FAILED, Call, CallRules, InvalidCall
+from lynxreel.fronts.connection_table import ConnectionTable
 from lynxreel.fronts.delivery import Delivery
 from lynxreel.fronts.draining import Draining, DrainTimes
 from lynxreel.fronts.lingering import LingeringClose
@@ -42,13 +42,7 @@
 INVALID_COMMAND_PAUSE = (
     0.05  # seconds without reading after an invalid command, to limit the CPU time of repeats
 )
-CLIENT_TIMEOUT = 2.5  # seconds to send a first command, to complete one (slow ones take 2), to read answers
-SWEEP_INTERVAL = 0.25  # seconds between checks for expired timeouts
 FIRST_WINDOW_UPDATE = 0.05  # seconds after which a client that waits for room is read a little; then doubled
-MAX_EVICTION_CANDIDATES = 16  # connections examined for one that can be closed to make room
-MIN_IDLE_TIME = 2.0  # seconds that a connection stays open after its last answer
-MAX_IDLE_FRACTION = 0.25  # of the connections allowed; of more idle ones, the longest idle are closed
-MAX_SILENT_FRACTION = 0.25  # of the connections allowed; if more have sent nothing, these make room
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -82,7 +76,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register a new connection."""
         self.transport = cast(asyncio.Transport, transport)
-        self._clients.add(self)
+        self._clients.table.add(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """The buffer to read into: all connections share it, and its size bounds each read."""
@@ -146,11 +140,11 @@
             self.reject(f"Protocol error: {error}")
             return room
         if not more and not self._reader.empty():
-            self._clients.start_timeout(self, restart=taken > 0)
+            self._clients.table.start_timeout(self, restart=taken > 0)
         elif taken and not self._pause_reasons & self.ANSWERS_UNREAD:
-            self._clients.waiting_since.pop(self, None)
+            self._clients.table.waiting_since.pop(self, None)
             if not self.queue:
-                self._clients.mark_idle(self)
+                self._clients.table.mark_idle(self)
         if len(self.queue) >= MAX_OPEN_COMMANDS and not self._clients.refusing:
             self._pause_reading(self.QUEUE_FULL)
         if more and not self._has_buffer_room():
@@ -247,8 +241,8 @@
             call.reserved = self._clients.buffers.expected_answer
         self._hold(call, COMMAND_OVERHEAD + sum(map(len, strings)) + call.reserved)
         self.queue.append(call)
-        self._clients.idle_since.pop(self, None)
-        self._clients.deliveries.pop(self, None)
+        self._clients.table.idle_since.pop(self, None)
+        self._clients.table.deliveries.pop(self, None)
         if self._reader.skipped:
             call.refused(0)
             return True
@@ -410,7 +404,7 @@
         if self._pause_reasons:
             self._resume_after_answers()
         if not self.queue:
-            self._clients.mark_idle(self)
+            self._clients.table.mark_idle(self)
             if self._input_closed or self._clients.draining.closing:
                 self._clients.draining.end(self)
 
@@ -453,10 +447,10 @@
     def _begin_value(self, stream: Stream) -> None:
         """Start to send a large value that is next in order."""
         if self._pause_reasons & self.ANSWERS_UNREAD:  # replaced by the check for stalled streams
-            self._clients.waiting_since.pop(self, None)
+            self._clients.table.waiting_since.pop(self, None)
             self._resume_reading(self.ANSWERS_UNREAD)
         if not self.transport.is_closing():
-            self._clients.streams[self] = Delivery(
+            self._clients.table.streams[self] = Delivery(
                 self._clients.loop.time(), -undelivered_bytes(self.transport)
             )
         self._values.begin(stream)
@@ -481,7 +475,7 @@
 
     def value_sent(self) -> None:
         """The large value has been sent completely."""
-        self._clients.streams.pop(self, None)
+        self._clients.table.streams.pop(self, None)
         self._release(self.queue.popleft().held)
         self.flush()
 
@@ -536,7 +530,7 @@
         if streaming:
             self.transport.abort()  # the value can't be completed
         else:
-            self._clients.start_timeout(self)  # closes it if the answers are never read
+            self._clients.table.start_timeout(self)  # closes it if the answers are never read
 
     def end(self, await_partial: bool = True, read_pending: bool = False) -> None:
         """Close once no answer is pending, and the client has room for all of them.
@@ -553,7 +547,7 @@
         may_have_request = (await_partial and self._may_have_request()) or (
             read_pending and self._may_have_unread()
         )
-        if not self._input_closed and (may_have_request or self._clients.is_delivering(self)):
+        if not self._input_closed and (may_have_request or self._clients.table.is_delivering(self)):
             return
         self._close()
 
@@ -572,10 +566,10 @@
         if self._nothing_received:
             timeout = FIRST_COMMAND_TIMEOUT
         elif not self._reader.empty():
-            timeout = CLIENT_TIMEOUT
+            timeout = connection_table.CLIENT_TIMEOUT
         else:
             return False
-        return self._clients.loop.time() - self._clients.waiting_since.get(self, -math.inf) < timeout
+        return self._clients.loop.time() - self._clients.table.waiting_since.get(self, -math.inf) < timeout
 
     def _may_have_unread(self) -> bool:
         """Whether bytes may be unread. The sweep closes connections whose answers are never read."""
@@ -583,17 +577,17 @@
 
     def _close(self) -> None:
         self._input_closed = True
-        if self.transport.is_closing() or self in self._clients.lingering:
+        if self.transport.is_closing() or self in self._clients.table.lingering:
             return
         closing = LingeringClose(self.transport, self._clients.loop, self.connection_lost)
-        self._clients.linger(self, closing)
+        self._clients.table.linger(self, closing)
 
     def time_out(self) -> None:
         """The timeout for sending a command, or for reading answers, has expired: close."""
         if self._pause_reasons & self.ANSWERS_UNREAD or self.transport.is_closing():
             self.transport.abort()
         elif self._pause_reasons & self.OWN_DELAYS or self._has_arrived():
-            self._clients.start_timeout(self)  # the delay is this process's own
+            self._clients.table.start_timeout(self)  # the delay is this process's own
         elif self._reader.empty():
             self._close()
         else:
@@ -606,17 +600,17 @@
         self._unsent = self.transport.get_write_buffer_size()
         self._release(-self._unsent)
         self._unacknowledged = undelivered_bytes(self.transport)
-        self._clients.unread_answers[self] = None
+        self._clients.table.unread_answers[self] = None
         self._pause_reading(self.ANSWERS_UNREAD)
-        self._clients.start_timeout(self, restart=True)
+        self._clients.table.start_timeout(self, restart=True)
 
     def resume_writing(self) -> None:
         """The client reads its answers again."""
         if self._values.is_sending:
             self._values.resume_writing()
             return
-        self._clients.waiting_since.pop(self, None)
-        self._clients.unread_answers.pop(self, None)
+        self._clients.table.waiting_since.pop(self, None)
+        self._clients.table.unread_answers.pop(self, None)
         sent, self._unsent = self._unsent, 0
         self._release(sent)
         self.flush()
@@ -651,7 +645,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Remove the connection and cancel its open requests."""
-        self._clients.remove(self)
+        self._clients.table.remove(self)
         self._cancel_pending()
         self._release(self._unsent)
         self._input.update(0, 0)
@@ -689,19 +683,11 @@
         self.engine, self.terms, self.loop = engine, terms, loop
         self.buffers = buffers or ClientBuffers(DEFAULT_BUFFERS)
         self._listener_factory = listener_factory or OwnListenerFactory(loop)
-        self.connections: set[Connection] = set()
-        self.waiting_since: dict[Connection, float] = {}  # clients that must send or read; oldest first
-        self.unread_answers: dict[Connection, None] = {}  # clients that have to read before more is written
-        self.streams: dict[Connection, Delivery] = {}  # large values that are being sent
-        self.deliveries: dict[Connection, Delivery] = {}  # other answers that clients are still reading
-        self.idle_since: dict[Connection, float] = {}  # no command is open; oldest first
-        self.lingering: dict[Connection, LingeringClose] = {}  # connections being closed; oldest first
         self.paused = PausedConnections(loop)
+        self.table = ConnectionTable[Connection](loop, max_connections, self.paused)
         self.turns = Turns(loop.call_soon, engine.is_behind)
         self.read_buffer = memoryview(bytearray(READ_SIZE))  # each read is processed before the next one
-        self._max_connections = max_connections
         self._listeners: dict[tuple[str, int], Listener] = {}
-        self._sweeping = False
         self.port = 0
         self.leaving = False  # pings are answered that this gateway takes no new work
         self._refuse_from = math.inf  # loop time from which new commands are refused
@@ -713,9 +699,7 @@
         listener = await self._listener_factory.open((host, port), lambda: Connection(self))
         self._listeners[(host, port)] = listener
         self.port = listener.address[1]
-        if not self._sweeping:
-            self._sweeping = True
-            self.sweep()
+        self.table.start_sweeping()
 
     async def unlisten(self, *addresses: tuple[str, int]) -> None:
         """Stop accepting at these addresses, or at all if none is named. Open connections stay."""
@@ -724,127 +708,7 @@
 
     def reconfigure(self, terms: CallRules, max_connections: int) -> None:
         """Use other names and another limit on connections; the limit applies to new connections."""
-        self.terms, self._max_connections = terms, max_connections
-
-    def add(self, connection: Connection) -> None:
-        """Register a new connection; another one is closed where descriptors would run short.
-
-        That is the one idle for longest, as closing a connection may cross a request. Where many have sent
-        nothing yet, it is the oldest of these: silent clients must not displace those that are served.
-        """
-        self.connections.add(connection)
-        self.start_timeout(connection)
-        if len(self.connections) <= self._max_connections:
-            return
-        delivered = (c for c, closing in self.lingering.items() if not closing.is_delivering)
-        victim = next(delivered, None) or self._choose_victim() or connection
-        self.remove(victim)
-        victim.transport.abort()
-
-    def _choose_victim(self) -> Connection | None:
-        """Choose one to close: one that nothing would be lost on. None if there is none."""
-        silent = self._first_evictable(self._silent_connections())
-        if len(self.waiting_since) > max(1, self._max_connections * MAX_SILENT_FRACTION):
-            return silent
-        return self._first_evictable(self.idle_since) or silent
-
-    def _first_evictable(self, candidates: Iterable[Connection]) -> Connection | None:
-        for connection in list(islice(candidates, MAX_EVICTION_CANDIDATES)):
-            if connection.owes_nothing():
-                return connection
-            if connection in self.idle_since:
-                self.is_delivering(connection)  # if so it is no candidate until its client has read on
-        return None
-
-    def _silent_connections(self) -> Iterator[Connection]:
-        """Connections that have to send a command and have none in the queue, the oldest first."""
-        return (connection for connection in self.waiting_since if not connection.queue)
-
-    def is_delivering(self, connection: Connection) -> bool:
-        """Whether a client is so far behind its last answers that it would learn late of a close.
-
-        Until then it may send further commands. It is watched until it has room for all answers.
-        """
-        if not connection.has_unsent():
-            self.deliveries.pop(connection, None)
-            return False
-        if connection not in self.deliveries:
-            self.idle_since.pop(connection, None)
-            delivery = Delivery(self.loop.time(), -undelivered_bytes(connection.transport))
-            self.deliveries[connection] = delivery
-        return True
-
-    def linger(self, connection: Connection, closing: LingeringClose) -> None:
-        """Register a connection that is being closed; it counts until it has ended."""
-        self.waiting_since.pop(connection, None)
-        self.unread_answers.pop(connection, None)
-        self.idle_since.pop(connection, None)
-        self.streams.pop(connection, None)
-        self.deliveries.pop(connection, None)
-        self.paused.discard(connection)
-        self.lingering[connection] = closing
-
-    def start_timeout(self, connection: Connection, restart: bool = False) -> None:
-        """Start the timeout of a client that has to send or to read; `restart` one that runs already."""
-        if restart:
-            self.waiting_since.pop(connection, None)
-        self.waiting_since.setdefault(connection, self.loop.time())
-
-    def mark_idle(self, connection: Connection) -> None:
-        """Register a connection as idle: all its commands are answered."""
-        self.idle_since.pop(connection, None)
-        still_open = connection in self.connections and connection not in self.lingering
-        if still_open and connection not in self.waiting_since:
-            self.idle_since[connection] = self.loop.time()
-
-    def remove(self, connection: Connection) -> None:
-        """Remove a connection that is closed."""
-        self.connections.discard(connection)
-        self.waiting_since.pop(connection, None)
-        self.idle_since.pop(connection, None)
-        self.streams.pop(connection, None)
-        self.deliveries.pop(connection, None)
-        self.unread_answers.pop(connection, None)
-        self.lingering.pop(connection, None)
-        self.paused.discard(connection)
-
-    def sweep(self) -> None:
-        """Close connections with an expired timeout, and of many idle ones those that are idle for longest.
-
-        Some clients ask once and keep their connection for good: the others must find room before it is full.
-        """
-        for connection in self.unread_answers:
-            if not connection.transport.is_closing() and connection.has_read():
-                self.start_timeout(connection, restart=True)
-        latest_start = self.loop.time() - CLIENT_TIMEOUT
-        for connection, since in list(self.waiting_since.items()):
-            if since > latest_start:
-                break
-            del self.waiting_since[connection]
-            connection.time_out()
-        self._check_deliveries()
-        latest_start = self.loop.time() - MIN_IDLE_TIME
-        excess = len(self.idle_since) - int(self._max_connections * MAX_IDLE_FRACTION)
-        for connection, since in list(islice(self.idle_since.items(), max(0, excess))):
-            if since > latest_start:
-                break
-            del self.idle_since[connection]
-            connection.end()
-        self.loop.call_later(SWEEP_INTERVAL, self.sweep)
-
-    def _check_deliveries(self) -> None:
-        """Cut off clients that have stopped reading; those that have all of their answers are idle."""
-        now = self.loop.time()
-        for connection, value in list(self.streams.items()):
-            value.update(now, connection.bytes_acknowledged)
-            if value.has_stalled(now):
-                connection.stop_stalled_value()
-        for connection, answers in list(self.deliveries.items()):
-            answers.update(now, -undelivered_bytes(connection.transport))
-            if not self.is_delivering(connection):
-                self.mark_idle(connection)
-            elif answers.has_stalled(now):
-                connection.transport.abort()
+        self.terms, self.table.max_connections = terms, max_connections
 
     @property
     def addresses(self) -> list[tuple[str, int]]:
@@ -870,13 +734,14 @@
         """Whether new commands are refused at once."""
         return self.loop.time() >= self._refuse_from
 
+    @property
+    def connections(self) -> set[Connection]:
+        """The open connections."""
+        return self.table.connections
+
     def is_sending(self) -> bool:
         """Whether answers are being sent to clients that read them: those that don't are cut off in time."""
-        if self.streams or self.unread_answers or self.deliveries:
-            return True
-        if any(closing.is_delivering for closing in self.lingering.values()):
-            return True
-        return any(connection.is_deferring() for connection in self.connections)
+        return self.table.is_sending() or any(c.is_deferring() for c in self.connections)
 
     async def drain(self, times: DrainTimes) -> None:
         """Close the listeners, and each connection as soon as no answer is pending on it."""
--- a/tests/test_client_buffers.py
+++ b/tests/test_client_buffers.py
@@ -13,7 +13,7 @@
 from lynxreel.backends.pools import Servers
 from lynxreel.backends.resp2 import Resp2
 from lynxreel.engine.engine import Engine
-from lynxreel.fronts import delivery, resp2
+from lynxreel.fronts import connection_table, delivery, resp2
 from lynxreel.fronts.resp2 import Connection, Resp2Front
 from lynxreel.protocol.resp import Reader
 from lynxreel.relay.budget import Budget
@@ -202,7 +202,7 @@
         opened = [await rig.client() for _ in range(count)]
         for number, (_, writer) in enumerate(opened):
             writer.write(lookup(f"{number}.large"))
-        await until(lambda: len(rig.clients.streams) == count)
+        await until(lambda: len(rig.clients.table.streams) == count)
         for batch in range(behind // 8):
             for number, (_, writer) in enumerate(opened):
                 writer.write(b"".join(lookup(f"{number}.{batch}.{place}") for place in range(8)))
@@ -319,15 +319,15 @@
     reads: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # Guards against cutting off slow readers: the system tells of room for more in steps of many seconds.
-    monkeypatch.setattr(resp2, "CLIENT_TIMEOUT", 0.4)
-    monkeypatch.setattr(resp2, "SWEEP_INTERVAL", 0.05)
+    monkeypatch.setattr(connection_table, "CLIENT_TIMEOUT", 0.4)
+    monkeypatch.setattr(connection_table, "SWEEP_INTERVAL", 0.05)
 
     async def scenario(rig: Rig) -> None:
         loop = asyncio.get_running_loop()
         sock, connection = await rig.connect(system_buffer=256_000)
         with sock:
             await loop.sock_sendall(sock, b"".join(map(call, range(60))))
-            await until(lambda: bool(rig.clients.unread_answers))
+            await until(lambda: bool(rig.clients.table.unread_answers))
             assert await is_cut_off(sock, connection, reads) is not reads
         await until(lambda: not rig.clients.connections)
 
@@ -340,14 +340,14 @@
 ) -> None:
     # The system has taken so much that a steady client makes no room for more within the timeout.
     monkeypatch.setattr(delivery, "STALL_TIMEOUT", 0.4)
-    monkeypatch.setattr(resp2, "SWEEP_INTERVAL", 0.05)
+    monkeypatch.setattr(connection_table, "SWEEP_INTERVAL", 0.05)
 
     async def scenario(rig: Rig) -> None:
         loop = asyncio.get_running_loop()
         sock, connection = await rig.connect(system_buffer=256_000)
         with sock:
             await loop.sock_sendall(sock, lookup("large"))
-            await until(lambda: bool(rig.clients.streams))
+            await until(lambda: bool(rig.clients.table.streams))
             assert await is_cut_off(sock, connection, reads) is not reads
         await until(lambda: not rig.clients.connections)
 
@@ -358,7 +358,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(delivery, "STALL_TIMEOUT", 0.4)
-    monkeypatch.setattr(resp2, "SWEEP_INTERVAL", 0.05)
+    monkeypatch.setattr(connection_table, "SWEEP_INTERVAL", 0.05)
 
     async def scenario(rig: Rig) -> None:
         loop = asyncio.get_running_loop()
@@ -378,7 +378,7 @@
     async def scenario(rig: Rig) -> None:
         reader, writer = await rig.client()
         writer.write(b"".join(map(call, range(40))))
-        await until(lambda: bool(rig.clients.unread_answers))
+        await until(lambda: bool(rig.clients.table.unread_answers))
         (connection,) = rig.clients.connections
         await until(lambda: all(c.reply is not None for c in connection.queue))
         connection.eof_received()
@@ -501,8 +501,8 @@
 def test_a_client_that_does_not_complete_its_command_while_there_is_no_room_is_told_so(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(resp2, "CLIENT_TIMEOUT", 0.3)
-    monkeypatch.setattr(resp2, "SWEEP_INTERVAL", 0.05)
+    monkeypatch.setattr(connection_table, "CLIENT_TIMEOUT", 0.3)
+    monkeypatch.setattr(connection_table, "SWEEP_INTERVAL", 0.05)
 
     async def scenario(rig: Rig) -> None:
         rig.buffers.add(2 * LIMIT)
@@ -536,7 +536,7 @@
 def test_a_client_whose_command_has_arrived_is_not_told_that_it_did_not_come(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(resp2, "CLIENT_TIMEOUT", 0.0)
+    monkeypatch.setattr(connection_table, "CLIENT_TIMEOUT", 0.0)
 
     async def scenario(rig: Rig) -> None:
         rig.buffers.add(2 * LIMIT)
--- a/tests/test_client_closes.py
+++ b/tests/test_client_closes.py
@@ -9,7 +9,7 @@
 import pytest
 
 from lynxreel.engine.engine import Engine
-from lynxreel.fronts import delivery, draining, http, lingering, resp2
+from lynxreel.fronts import connection_table, delivery, draining, http, lingering, resp2
 from lynxreel.fronts.draining import DrainTimes
 from lynxreel.fronts.resp2 import MAX_OPEN_COMMANDS, Connection, Resp2Front
 from lynxreel.fronts.turns import COMMANDS_PER_ROUND
@@ -223,8 +223,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # Guards against a close over a request that had arrived, and that this process was slow to read.
-    monkeypatch.setattr(resp2, "CLIENT_TIMEOUT", 0.02)
-    monkeypatch.setattr(resp2, "SWEEP_INTERVAL", 0.01)
+    monkeypatch.setattr(connection_table, "CLIENT_TIMEOUT", 0.02)
+    monkeypatch.setattr(connection_table, "SWEEP_INTERVAL", 0.01)
 
     async def scenario(engine: EngineStandIn, clients: Resp2Front, connect: Connect) -> None:
         client = Client(clients.port)
@@ -287,7 +287,7 @@
 def test_a_client_that_stops_sending_and_reading_counts_as_disconnected_at_once(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(resp2, "CLIENT_TIMEOUT", 3_600.0)
+    monkeypatch.setattr(connection_table, "CLIENT_TIMEOUT", 3_600.0)
 
     async def scenario(engine: EngineStandIn, clients: Resp2Front, connect: Connect) -> None:
         client, connection = await connect()
@@ -364,7 +364,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # To save memory and descriptors. Taking commands in turns is no sign that the client reads.
-    monkeypatch.setattr(resp2, "CLIENT_TIMEOUT", 0.5)
+    monkeypatch.setattr(connection_table, "CLIENT_TIMEOUT", 0.5)
     monkeypatch.setattr(delivery, "STALL_TIMEOUT", 0.5)  # for what the system has of the answers
 
     async def scenario(engine: EngineStandIn, clients: Resp2Front, connect: Connect) -> None:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -266,8 +266,8 @@
 ) -> None:
     monkeypatch.setattr("lynxreel.fronts.draining.SUSPEND_ANNOUNCE_TIME", 0.0)
     monkeypatch.setattr("lynxreel.fronts.resp2.FIRST_COMMAND_TIMEOUT", 0.2)
-    monkeypatch.setattr("lynxreel.fronts.resp2.CLIENT_TIMEOUT", 0.2)
-    monkeypatch.setattr("lynxreel.fronts.resp2.SWEEP_INTERVAL", 60.0)
+    monkeypatch.setattr("lynxreel.fronts.connection_table.CLIENT_TIMEOUT", 0.2)
+    monkeypatch.setattr("lynxreel.fronts.connection_table.SWEEP_INTERVAL", 60.0)
 
     async def scenario(
         engine: EngineStandIn, clients: Resp2Front, connect: Callable[[], Awaitable[Streams]]
@@ -290,8 +290,8 @@
 
 
 def test_a_half_read_command_does_not_block_the_stop_for_ever(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("lynxreel.fronts.resp2.CLIENT_TIMEOUT", 0.02)
-    monkeypatch.setattr("lynxreel.fronts.resp2.SWEEP_INTERVAL", 60.0)
+    monkeypatch.setattr("lynxreel.fronts.connection_table.CLIENT_TIMEOUT", 0.02)
+    monkeypatch.setattr("lynxreel.fronts.connection_table.SWEEP_INTERVAL", 60.0)
 
     async def scenario(
         engine: EngineStandIn, clients: Resp2Front, connect: Callable[[], Awaitable[Streams]]
@@ -385,8 +385,8 @@
 def test_a_client_that_does_not_finish_a_command_is_disconnected(
     start: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr("lynxreel.fronts.resp2.CLIENT_TIMEOUT", 0.02)
-    monkeypatch.setattr("lynxreel.fronts.resp2.SWEEP_INTERVAL", 0.01)
+    monkeypatch.setattr("lynxreel.fronts.connection_table.CLIENT_TIMEOUT", 0.02)
+    monkeypatch.setattr("lynxreel.fronts.connection_table.SWEEP_INTERVAL", 0.01)
 
     async def scenario(
         engine: EngineStandIn, clients: Resp2Front, connect: Callable[[], Awaitable[Streams]]
@@ -462,8 +462,8 @@
 
 def test_of_many_idle_connections_the_longest_idle_are_closed(monkeypatch: pytest.MonkeyPatch) -> None:
     # Some clients ask once and keep their connection for good: others must still find room.
-    monkeypatch.setattr("lynxreel.fronts.resp2.MIN_IDLE_TIME", 0.0)
-    monkeypatch.setattr("lynxreel.fronts.resp2.SWEEP_INTERVAL", 0.01)
+    monkeypatch.setattr("lynxreel.fronts.connection_table.MIN_IDLE_TIME", 0.0)
+    monkeypatch.setattr("lynxreel.fronts.connection_table.SWEEP_INTERVAL", 0.01)
 
     async def scenario(
         engine: EngineStandIn, clients: Resp2Front, connect: Callable[[], Awaitable[Streams]]
--- a/tests/test_deferred_values.py
+++ b/tests/test_deferred_values.py
@@ -106,7 +106,7 @@
         servers[1].write(SMALL)
         servers[0].write(head(100_000) + value(60_000))
         await wait_until(lambda: rig.budget.buffered == 60_000)
-        assert not rig.clients.streams
+        assert not rig.clients.table.streams
         servers[0].write(value(100_000)[60_000:] + TAIL)
         expected = b"$100000\r\n" + value(100_000) + b"\r\n" + SMALL_ANSWER
         assert await reader.readexactly(len(expected)) == expected
@@ -169,7 +169,7 @@
         reader, writer = await rig.client()
         (server,) = await ask(rig, writer, 1)
         server.write(head(size) + value(size)[:100])
-        await wait_until(lambda: bool(rig.clients.streams))
+        await wait_until(lambda: bool(rig.clients.table.streams))
         (connection,) = rig.clients.connections
         await scenario(rig, reader, writer, server, connection)
 
@@ -206,13 +206,13 @@
         own.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 << 20)
         first, second = await ask(rig, writer, 2)
         first.write(head(1_000_000) + value(1_000_000) + TAIL)
-        await wait_until(lambda: rig.engine.ended.qsize() == 1 and not rig.clients.streams)
+        await wait_until(lambda: rig.engine.ended.qsize() == 1 and not rig.clients.table.streams)
         second.write(head(100_000) + value(100))
-        await wait_until(lambda: bool(rig.clients.streams))
+        await wait_until(lambda: bool(rig.clients.table.streams))
         writer.write(call(3))
         await wait_until(lambda: connection._values.arrivals.oldest_age(1e9) > 0)
         reset(second)
-        await wait_until(lambda: connection in rig.clients.lingering)
+        await wait_until(lambda: connection in rig.clients.table.lingering)
         writer.transport.resume_reading()  # type: ignore[attr-defined]
         got = await reader.read()
         assert got == b"$1000000\r\n%b\r\n$100000\r\n%b" % (value(1_000_000), value(100))
@@ -259,7 +259,7 @@
     ) -> None:
         writer.write(call(2))
         await rig.peer.receive()
-        assert rig.clients.streams
+        assert rig.clients.table.streams
 
     with_begun_value(scenario)
 
@@ -301,7 +301,7 @@
         connection.end()
         writer.write(call(2))
         assert (await rig.engine.calls.get()).id == b"%016x" % 2
-        assert rig.clients.streams
+        assert rig.clients.table.streams
 
     with_begun_value(scenario)
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -162,7 +162,7 @@
             assert (await rig.engine.ended.get())[1] is Result.OK
         assert len(rig.peer.writers) == 1
         assert (len(rig.budget), rig.budget.buffered) == (0, 0)
-        assert not rig.clients.streams
+        assert not rig.clients.table.streams
 
     run_scenario(scenario)
 
@@ -227,7 +227,7 @@
         writer.write(call(1))
         server, _ = await rig.peer.receive()
         server.write(head(size) + rest[:1_000])
-        await wait_until(lambda: bool(rig.clients.streams))
+        await wait_until(lambda: bool(rig.clients.table.streams))
         writer.write(call(2))
         server.write(rest[1_000:])
         if len(rest) < size:
@@ -438,16 +438,16 @@
 
 def test_a_value_that_stalls_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("lynxreel.fronts.delivery.STALL_TIMEOUT", 0.1)
-    monkeypatch.setattr("lynxreel.fronts.resp2.SWEEP_INTERVAL", 0.02)
+    monkeypatch.setattr("lynxreel.fronts.connection_table.SWEEP_INTERVAL", 0.02)
 
     async def scenario(rig: Rig) -> None:
         reader, writer = await rig.client()
         writer.write(call(1))
         server, _ = await rig.peer.receive()
         for _ in range(10):  # slow, but not stalled
-            server.write(head(100_000) + b"x" if not rig.clients.streams else b"x")
+            server.write(head(100_000) + b"x" if not rig.clients.table.streams else b"x")
             await asyncio.sleep(0.04)
-        assert len(rig.clients.streams) == 1
+        assert len(rig.clients.table.streams) == 1
         with pytest.raises(asyncio.IncompleteReadError):
             await reader.readexactly(100_000)
         assert await rig.peer.receive(b"none") == (server, b"")
@@ -511,7 +511,7 @@
         server, _ = await rig.peer.receive()
         sent = value(100_000)
         server.write(head(len(sent)) + sent[:70_000])
-        await wait_until(lambda: bool(rig.clients.streams))
+        await wait_until(lambda: bool(rig.clients.table.streams))
         draining = asyncio.create_task(rig.clients.drain(drain_times(5.0)))
         await asyncio.sleep(0.05)
         server.write(sent[70_000:] + TAIL)
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -7,7 +7,7 @@
 import pytest
 
 from lynxreel.engine.engine import Engine
-from lynxreel.fronts import delivery, http, lingering, resp2
+from lynxreel.fronts import connection_table, delivery, http, lingering
 from lynxreel.fronts.draining import DrainTimes
 from lynxreel.fronts.resp2 import Connection, Resp2Front
 from lynxreel.openapi.admission import Admission
@@ -65,8 +65,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # Guards against answers that are lost as their connection counted as idle once the system had them.
-    monkeypatch.setattr(resp2, "MIN_IDLE_TIME", 0.0)
-    monkeypatch.setattr(resp2, "SWEEP_INTERVAL", 0.01)
+    monkeypatch.setattr(connection_table, "MIN_IDLE_TIME", 0.0)
+    monkeypatch.setattr(connection_table, "SWEEP_INTERVAL", 0.01)
 
     async def scenario(engine: EngineStandIn, clients: Resp2Front, connect: Connect) -> None:
         client, _ = await slow_reader(engine, connect)
@@ -82,15 +82,15 @@
 
 
 def test_a_connection_whose_client_has_read_all_is_idle_again(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(resp2, "MIN_IDLE_TIME", 0.0)
-    monkeypatch.setattr(resp2, "SWEEP_INTERVAL", 0.01)
+    monkeypatch.setattr(connection_table, "MIN_IDLE_TIME", 0.0)
+    monkeypatch.setattr(connection_table, "SWEEP_INTERVAL", 0.01)
 
     async def scenario(engine: EngineStandIn, clients: Resp2Front, connect: Connect) -> None:
         client, connection = await slow_reader(engine, connect)
         others = [await connect() for _ in range(2)]
-        await until(lambda: connection in clients.deliveries)
+        await until(lambda: connection in clients.table.deliveries)
         assert await read_slowly(client, COUNT * len(ANSWER)) == ANSWER * COUNT
-        await until(lambda: not clients.deliveries)
+        await until(lambda: not clients.table.deliveries)
         assert await others[0][0].read_all() == b""  # which has been idle for longer now
 
     play(scenario)
@@ -117,7 +117,7 @@
         client, connection = await slow_reader(engine, connect)
         times = DrainTimes(announce=0.0, patience=0.0, cut_off=9.0)
         drain = asyncio.create_task(clients.drain(times))
-        await until(lambda: connection in clients.deliveries)
+        await until(lambda: connection in clients.table.deliveries)
         assert clients.is_sending()
         client.socket.sendall(PING)
         assert await read_slowly(client, 1 << 20) == ANSWER * COUNT + PONG
@@ -133,7 +133,7 @@
     patience: float, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(delivery, "STALL_TIMEOUT", 0.1)
-    monkeypatch.setattr(resp2, "SWEEP_INTERVAL", 0.01)
+    monkeypatch.setattr(connection_table, "SWEEP_INTERVAL", 0.01)
 
     async def scenario(engine: EngineStandIn, clients: Resp2Front, connect: Connect) -> None:
         await slow_reader(engine, connect)
@@ -145,7 +145,7 @@
 
 def test_new_connections_make_room_by_an_idle_one_and_not_by_slow_readers() -> None:
     # Guards against making room by what a client is still reading, and against looking at readers alone.
-    readers = resp2.MAX_EVICTION_CANDIDATES + 1
+    readers = connection_table.MAX_EVICTION_CANDIDATES + 1
 
     async def scenario(engine: EngineStandIn, clients: Resp2Front, connect: Connect) -> None:
         slow = [await slow_reader(engine, connect) for _ in range(readers)]
@@ -169,7 +169,7 @@
     async def scenario(engine: EngineStandIn, clients: Resp2Front, connect: Connect) -> None:
         client, connection = await slow_reader(engine, connect)
         client.socket.sendall(b"no command\r\n")
-        await until(lambda: connection in clients.lingering)
+        await until(lambda: connection in clients.table.lingering)
         newest = Client(clients.port)
         assert await newest.read_all() == b""
         newest.socket.close()
@@ -188,7 +188,7 @@
     async def scenario(engine: EngineStandIn, clients: Resp2Front, connect: Connect) -> None:
         client, connection = await slow_reader(engine, connect)
         client.socket.sendall(b"no command\r\n")
-        await until(lambda: connection in clients.lingering)
+        await until(lambda: connection in clients.table.lingering)
         for _ in range(2):  # the second meets a closed socket, if the first had it closed
             client.socket.sendall(b"x" * 20_000)
             await asyncio.sleep(0.05)
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -11,7 +11,7 @@
 
 from lynxreel.engine import engine as engine_module
 from lynxreel.engine.engine import EVENTS_PER_ROUND, Engine
-from lynxreel.fronts import resp2
+from lynxreel.fronts import connection_table
 from lynxreel.fronts.resp2 import MAX_OPEN_COMMANDS, Connection, Resp2Front
 from lynxreel.fronts.turns import COMMANDS_PER_ROUND, Turns
 from mothgap import interface as api
@@ -155,15 +155,15 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # Guards against cutting off clients for the process's own delay.
-    monkeypatch.setattr(resp2, "CLIENT_TIMEOUT", 0.0)
+    monkeypatch.setattr(connection_table, "CLIENT_TIMEOUT", 0.0)
 
     async def scenario(engine: EngineStandIn, clients: Resp2Front, connect: Connect) -> None:
         client, connection = await connect()
         connection.data_received(call(1)[:-5])
-        assert connection in clients.waiting_since
+        assert connection in clients.table.waiting_since
         monkeypatch.setattr(clients.turns, "room", lambda: 0)
         connection.data_received(call(1)[-5:])
-        clients.sweep()
+        clients.table.sweep()
         (await engine.calls.get()).served(b"one")
         assert await client.read(9) == b"$3\r\none\r\n"
 
