--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -283,3 +283,28 @@
         front.close()
 
     run(scenario)
+
+
+def test_a_first_http_request_that_lies_unread_is_no_silence_of_its_client(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a close over a request that had arrived, and that this process was slow to read.
+    monkeypatch.setattr(http, "CLIENT_TIMEOUT", 0.02)
+    monkeypatch.setattr(http, "SWEEP_INTERVAL", 0.01)
+
+    async def scenario() -> None:
+        serving = http.ServingConfig(cast(Admission, Options()), Repeats(1, 1.0), 1)
+        front = http.HttpFront(cast(Engine, EngineStandIn()), serving, 8, asyncio.get_running_loop())
+        await front.listen(LOCAL, 0)
+        client = Client(front.addresses[0][1])
+        await until(lambda: bool(front.connections))
+        (connection,) = front.connections
+        connection.transport.pause_reading()
+        arrive(client, connection, SAME_OPTIONS)
+        await asyncio.sleep(0.1)
+        connection.transport.resume_reading()
+        assert (await client.read(12)) == b"HTTP/1.1 204"
+        client.socket.close()
+        front.close()
+
+    run(scenario)
