--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -29,6 +29,7 @@
     "fleet_change",
     "lending",
     "large_values",
+    "deferred_values",
     "operations",
     "upgrades",
     "quota_bound",
