RESP2: commands keep half of the shortest deadline behind a value that is arriving

Need: commands that come behind a value which is still arriving are left unread for up to 1.5 s. Where deadlines are shorter, all of their time would pass there, and sound requests be refused that were served before. Change: they are left unread for half of the deployment's shortest deadline at most. A value that was begun with commands behind it is read ahead from the start, not only for what comes later, so that it can break for less long.

--- a/lynxreel/fronts/calls.py
+++ b/lynxreel/fronts/calls.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from lynxreel.protocol import commands
+from lynxreel.relay.deferral import MAX_DEFERRAL
 from lynxreel.relay.stream import Stream
 from mothgap.interface import Effect, Settings
 from mothgap.settings import Names
@@ -19,6 +20,7 @@
 ARITY = {b"CALL.GET": 4, b"CALL.POST": 5}
 MAX_CUSTOMERS = 1 << 33
 FAILED = b"-ERR failed\r\n"
+UNREAD_FRACTION = 0.5  # of the shortest deadline: the rest is left to commands that were not read at once
 CUSTOMER_PATTERN = re.compile(rb"[0-9a-f]{16}")
 ID_PATTERN = re.compile(rb"[0-9A-Za-z._:-]{1,64}")
 NAME_PATTERN = re.compile(rb"[^\0- ]{1,128}")
@@ -60,12 +62,14 @@
     gateways: int  # number of addresses that clients know
     workers: int = 1  # instances behind each address
     patterns: Mapping[bytes, re.Pattern[bytes]] = field(default_factory=lambda: PARAMETERS)  # by name
+    max_unread_wait: float = MAX_DEFERRAL  # seconds for which commands are left unread behind a large value
 
     @classmethod
     def from_settings(
         cls, settings: Settings, names: Names, workers: int = 1, back: bool = False
     ) -> CallRules:
         """Build from settings; `workers` instances share an address. `back`: clients may resume requests."""
+        shortest_deadline = min(c.deadline for c in settings.classes) / 1e6
         return cls(
             {name.encode(): number for name, number in names.classes.items()},
             tuple(c.effect is not Effect.REPEATABLE for c in settings.classes),
@@ -74,6 +78,7 @@
             settings.fleet_size // workers,
             workers,
             PARAMETERS | RESUME_PARAMETERS if back else PARAMETERS,
+            min(MAX_DEFERRAL, UNREAD_FRACTION * shortest_deadline),
         )
 
 
--- a/lynxreel/fronts/resp2.py
+++ b/lynxreel/fronts/resp2.py
@@ -455,6 +455,11 @@
             )
         self._values.begin(stream)
 
+    @property
+    def max_unread_wait(self) -> float:
+        """Seconds for which commands are left unread behind a value that is arriving."""
+        return self._clients.terms.max_unread_wait
+
     def has_commands_behind(self) -> bool:
         """Whether anything has come behind the command that is next to be answered."""
         return len(self.queue) > 1 or not self._reader.empty() or has_unread(self.transport)
--- a/lynxreel/fronts/value_writer.py
+++ b/lynxreel/fronts/value_writer.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from lynxreel.fronts.arrival_times import ArrivalTimes
-from lynxreel.relay.deferral import MAX_DEFERRAL, Deferral
+from lynxreel.relay.deferral import Deferral
 from lynxreel.relay.stream import Stream
 from lynxreel.socket_queues import unread_bytes, undelivered_bytes
 
@@ -21,6 +21,10 @@
 
     transport: asyncio.Transport
 
+    @property
+    def max_unread_wait(self) -> float:
+        """Seconds for which commands are left unread behind a value that is arriving."""
+
     def flush(self) -> None:
         """Write the answers that are next in order."""
 
@@ -106,6 +110,8 @@
         stream.attach(self)
         if self.stream is stream and stream.is_arriving:
             self._connection.hold_input()
+            if self._connection.has_commands_behind():
+                stream.read_ahead()
             self.look_behind()
 
     def look_behind(self) -> None:
@@ -116,7 +122,7 @@
         now = self._loop.time()
         self.arrivals.look(now, unread)
         self.stream.read_ahead()
-        if self.arrivals.oldest_age(now) >= MAX_DEFERRAL:
+        if self.arrivals.oldest_age(now) >= self._connection.max_unread_wait:
             self._connection.release_input()
 
     @property
--- a/tests/test_deferred_values.py
+++ b/tests/test_deferred_values.py
@@ -4,18 +4,20 @@
 import contextlib
 import socket
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lynxreel.fronts import value_writer
 from lynxreel.fronts.arrival_times import ArrivalTimes
+from lynxreel.fronts.calls import CallRules
 from lynxreel.fronts.resp2 import Connection
 from lynxreel.relay import deferral
 from lynxreel.relay.deferral import DEADLINE_MARGIN, Deferral
 from mothgap.interface import Result
-from tests.net import call
+from tests.helpers import SETTINGS
+from tests.net import NAMES, call
 from tests.test_relay import LARGE, TAIL, Rig, head, reset, run_scenario, value, wait_until
 
 RATED_DEFERRAL = deferral.MAX_DEFERRAL
@@ -29,7 +31,7 @@
 def endless_deferral(monkeypatch: pytest.MonkeyPatch) -> None:
     """Waits end by events, not by their bounds, unless a test sets a bound."""
     monkeypatch.setattr(deferral, "MAX_DEFERRAL", 3_600.0)
-    monkeypatch.setattr(value_writer, "MAX_DEFERRAL", 3_600.0)
+    monkeypatch.setattr(Connection, "max_unread_wait", 3_600.0)
 
 
 async def ask(rig: Rig, writer: asyncio.StreamWriter, count: int) -> list[asyncio.StreamWriter]:
@@ -129,6 +131,28 @@
     run_scenario(scenario)
 
 
+def test_a_value_that_was_begun_is_read_ahead_for_commands_behind_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against values that may break for as long as their client takes to read them.
+    monkeypatch.setattr(deferral, "MAX_DEFERRAL", 0.0)
+
+    async def scenario(rig: Rig) -> None:
+        reader, writer = await rig.client()
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        servers = await ask(rig, writer, 2)
+        (connection,) = rig.clients.connections
+        own = connection.transport.get_extra_info("socket")
+        own.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 64 * 1024)
+        servers[0].write(head(LARGE) + value(LARGE) + TAIL)
+        servers[1].write(SMALL)
+        await wait_until(lambda: len(rig.servers._pools["s-1"].idle) == 2)
+        assert rig.clients.table.streams
+        writer.transport.resume_reading()  # type: ignore[attr-defined]
+        expected = b"$%d\r\n%b\r\n" % (LARGE, value(LARGE)) + SMALL_ANSWER
+        assert await reader.readexactly(len(expected)) == expected
+
+    run_scenario(scenario, budget=16 << 20)
+
+
 def test_a_value_is_begun_before_the_deadline_of_its_client() -> None:
     async def scenario(rig: Rig) -> None:
         reader, writer = await rig.client()
@@ -248,7 +272,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # Guards against sound requests whose time passes unread behind a slow server.
-    monkeypatch.setattr(value_writer, "MAX_DEFERRAL", 0.2)
+    monkeypatch.setattr(Connection, "max_unread_wait", 0.2)
 
     async def scenario(
         rig: Rig,
@@ -327,6 +351,17 @@
     assert 0 < RATED_DEFERRAL < 2.0
 
 
+@pytest.mark.parametrize(("deadline", "wait"), [(300_000, 0.15), (2_000_000, 1.0), (30_000_000, 1.5)])
+def test_commands_left_unread_keep_half_of_the_shortest_deadline(deadline: int, wait: float) -> None:
+    # Guards against sound requests that are refused, as all of their time has passed unread.
+    classes = (
+        replace(SETTINGS.classes[0], deadline=deadline),
+        replace(SETTINGS.classes[2], deadline=90_000_000),
+    )
+    rules = CallRules.from_settings(replace(SETTINGS, classes=classes), NAMES)
+    assert rules.max_unread_wait == pytest.approx(wait)
+
+
 @given(st.floats(0, 1e6), st.floats(-1, 5_000), st.floats(0, 10))
 def test_no_deferral_goes_beyond_its_bounds(now: float, time_left: float, later: float) -> None:
     wait = Deferral(now, time_left).remaining(now + later, can_grow=True)
