Fronts: connections that have ended are freed at once, with their buffers

Cause: the writer of large values holds its connection and is held by it, and an HTTP connection holds the lingering close that reports to it. Such cycles wait for the garbage collector, and with them the buffers of hundreds of connections. Change: the writer refers to its connection weakly; an HTTP connection lets go of its lingering close when it has ended. Evidence: new tests hold the collector off and fail without either change.

--- a/lynxreel/fronts/http.py
+++ b/lynxreel/fronts/http.py
@@ -712,6 +712,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """The client has disconnected: cancel its request. One under a key runs on: its answer is kept."""
         self._input_closed = True
+        self._lingering = None
         self.front.connections.discard(self)
         self.front.waiting_for_room.pop(self, None)
         self._hold(0)
--- a/lynxreel/fronts/value_writer.py
+++ b/lynxreel/fronts/value_writer.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import weakref
 from typing import Protocol
 
 from lynxreel.fronts.arrival_times import ArrivalTimes
@@ -48,7 +49,9 @@
     """Sends values one after the other; the sink of the one that is being sent."""
 
     def __init__(self, connection: ValueConnection, loop: asyncio.AbstractEventLoop) -> None:
-        self._connection, self._loop = connection, loop
+        # Weak: the connection holds its writer, and is to be freed with its buffers as soon as it ends.
+        self._connection: ValueConnection = weakref.proxy(connection)
+        self._loop = loop
         self.stream: Stream | None = None  # the value that is being sent
         self._written = False  # all of it has been written to the transport, but perhaps not sent
         self._deferral: Deferral | None = None  # of the value that is next in order
--- a/tests/test_client_closes.py
+++ b/tests/test_client_closes.py
@@ -1,8 +1,10 @@
 """Client connections that end at a bad moment: with unread bytes, while paused, or on one side only."""
 
 import asyncio
+import gc
 import select
 import socket
+import weakref
 from collections.abc import Awaitable, Callable
 from typing import Any, cast
 
@@ -241,6 +243,29 @@
     play(scenario)
 
 
+@pytest.mark.parametrize("rest", [b"", b"*4\r\n$8\r\nCALL.", b"no command\r\n"])
+def test_a_connection_is_freed_as_soon_as_it_has_ended(rest: bytes) -> None:
+    # Guards against buffers that a crowd leaves behind until the garbage collector comes to them.
+    async def scenario(engine: EngineStandIn, clients: Resp2Front, connect: Connect) -> None:
+        client, connection = await connect()
+        client.socket.sendall(rest)
+        await asyncio.sleep(0.01)
+        ended = weakref.ref(connection)
+        del connection
+        gc.collect()
+        gc.disable()
+        try:
+            client.socket.close()
+            await until(lambda: not clients.connections)
+            async with asyncio.timeout(1):
+                while ended() is not None:
+                    await asyncio.sleep(0.01)
+        finally:
+            gc.enable()
+
+    play(scenario)
+
+
 def test_a_closing_connection_makes_room_before_one_that_is_in_use() -> None:
     async def scenario(engine: EngineStandIn, clients: Resp2Front, connect: Connect) -> None:
         idle, _ = await connect()
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -1,7 +1,9 @@
 """Clients that read their answers slowly, on connections that the gateway would like to close."""
 
 import asyncio
+import gc
 import socket
+import weakref
 from typing import cast
 
 import pytest
@@ -308,3 +310,25 @@
         front.close()
 
     run(scenario)
+
+
+def test_an_http_connection_is_freed_as_soon_as_it_has_ended() -> None:
+    # Guards against buffers that a crowd leaves behind until the garbage collector comes to them.
+    async def scenario() -> None:
+        front, client, connection, _ = await http_reader(SYSTEM_BUFFER)
+        ended = weakref.ref(connection)
+        connection._close()
+        del connection
+        gc.collect()
+        gc.disable()
+        try:
+            client.socket.close()
+            await until(lambda: not front.connections)
+            async with asyncio.timeout(1):
+                while ended() is not None:
+                    await asyncio.sleep(0.01)
+        finally:
+            gc.enable()
+        front.close()
+
+    run(scenario)
