etcd: time-outs grow where every endpoint is slower, and follow the answers

An etcd whose pages, streams or progress notifications take more than 3 s, every time, was never listed or watched: no box and no drain from it.

Cause: each exchange was given up after a fixed 3 s (5 s in the client, sign in included) and made anew, however often that had failed.

Evidence: in virtual time endpoints of 3.5, 8 and 25 s were never listed, one of 2.9 s was; over sockets a stand-in slower than the client's time-out too.

Change: once every endpoint in a row has timed out, each has twice as long, up to 30 s; after an answer an endpoint has twice what it took, 3 s at least. So a dead endpoint beside one that answers still costs 3 s. The client's 5 s stay for calls that change something, and for operators' commands; a source gives up its own calls. The stand-in of etcd can be slow.

--- a/lynxreel/etcd/client.py
+++ b/lynxreel/etcd/client.py
@@ -22,6 +22,7 @@
 
 PAGE = 500  # keys per page of a list
 CALL_TIMEOUT = 5.0  # seconds, timeout of one call
+FOLLOW_TIMEOUT = 30.0  # seconds, the same for a source that gives up a call itself if it takes too long
 UNSURE = (Status.UNAVAILABLE, Status.DEADLINE_EXCEEDED, Status.UNKNOWN, Status.INTERNAL)
 Answer = TypeVar("Answer")
 
@@ -119,7 +120,7 @@
             self._channels[endpoint] = Channel(host, port, ssl=self._context, config=config)
         return self._channels[endpoint]
 
-    async def _metadata(self, endpoint: int) -> dict[str, str]:
+    async def _metadata(self, endpoint: int, timeout: float) -> dict[str, str]:
         if self._options.username and not self._token:
             request = pb.AuthenticateRequest(name=self._options.username, password=self._options.password)
             call = UnaryUnaryMethod(
@@ -128,14 +129,16 @@
                 pb.AuthenticateRequest,
                 pb.AuthenticateResponse,
             )
-            self._token = (await call(request, timeout=CALL_TIMEOUT)).token
+            self._token = (await call(request, timeout=timeout)).token
         return {"token": self._token} if self._token else {}
 
-    async def _call(self, endpoint: int, path: str, request: Any, answer: type[Answer]) -> Answer:
+    async def _call(
+        self, endpoint: int, path: str, request: Any, answer: type[Answer], timeout: float
+    ) -> Answer:
         async def attempt() -> Answer:
-            metadata = await self._metadata(endpoint)
+            metadata = await self._metadata(endpoint, timeout)
             method = UnaryUnaryMethod(self._channel(endpoint), path, type(request), answer)
-            return await method(request, timeout=CALL_TIMEOUT, metadata=metadata)
+            return await method(request, timeout=timeout, metadata=metadata)
 
         async def attempt_with_token_renewal() -> Answer:
             try:
@@ -149,13 +152,17 @@
         return await translate_errors(attempt_with_token_renewal)
 
     async def pages(
-        self, endpoint: int, prefix: bytes, page: int = PAGE
+        self, endpoint: int, prefix: bytes, page: int = PAGE, timeout: float = CALL_TIMEOUT
     ) -> AsyncIterator[tuple[pb.ResponseHeader, list[pb.KeyValue]]]:
-        """Yield all keys under a prefix page by page, as of the revision in the first page's header."""
+        """Yield all keys under a prefix page by page, as of the revision in the first page's header.
+
+        `timeout` is in seconds, for each page.
+        """
         key, end, revision = prefix, prefix_range_end(prefix), 0
         while True:
             request = pb.RangeRequest(key=key, range_end=end, limit=page, revision=revision)
-            found = await self._call(endpoint, "/etcdserverpb.KV/Range", request, pb.RangeResponse)
+            path = "/etcdserverpb.KV/Range"
+            found = await self._call(endpoint, path, request, pb.RangeResponse, timeout)
             revision = revision or found.header.revision
             yield found.header, list(found.kvs)
             if not found.more or not found.kvs:
@@ -170,7 +177,8 @@
         errors = []
         for endpoint in range(len(self._options.endpoints)):
             try:
-                return await self._call(endpoint, "/etcdserverpb.KV/Txn", request, pb.TxnResponse)
+                path = "/etcdserverpb.KV/Txn"
+                return await self._call(endpoint, path, request, pb.TxnResponse, CALL_TIMEOUT)
             except EtcdError as error:
                 if error.unsure:
                     raise
@@ -184,7 +192,7 @@
         for endpoint in range(len(self._options.endpoints)):
             try:
                 path = "/etcdserverpb.Lease/LeaseGrant"
-                return (await self._call(endpoint, path, request, pb.LeaseGrantResponse)).ID
+                return (await self._call(endpoint, path, request, pb.LeaseGrantResponse, CALL_TIMEOUT)).ID
             except EtcdError as error:
                 errors.append(str(error))  # a lease that was granted without an answer expires by itself
         raise EtcdError("; ".join(errors))
@@ -192,7 +200,7 @@
     @asynccontextmanager
     async def watch(self, endpoint: int, prefix: bytes, revision: int) -> AsyncIterator[Stream]:
         """Open a stream of all changes under a prefix from a revision on."""
-        metadata = await translate_errors(lambda: self._metadata(endpoint))
+        metadata = await translate_errors(lambda: self._metadata(endpoint, FOLLOW_TIMEOUT))
         method = StreamStreamMethod(
             self._channel(endpoint), "/etcdserverpb.Watch/Watch", pb.WatchRequest, pb.WatchResponse
         )
--- a/lynxreel/etcd/listwatch.py
+++ b/lynxreel/etcd/listwatch.py
@@ -12,6 +12,7 @@
   or belongs to another cluster. Everything is listed, at each endpoint in turn. An endpoint that continues
   from the known revision is accepted; a conflicting one is accepted once all endpoints conflict, or the
   others have been unreachable for `Times.conflict_timeout` seconds.
+- All endpoints answer, but more slowly than the timeout: once each of them has timed out, all have longer.
 
 Times are seconds on a monotonic clock. Retry delays are random, so that the instances of a fleet that lost
 its etcd do not all come back at the same moment.
@@ -24,6 +25,7 @@
 from enum import Enum
 from random import Random
 
+from lynxreel.answer_timeout import AnswerTimeout
 from lynxreel.backoff import Backoff
 
 
@@ -117,7 +119,8 @@
 class Times:
     """Timeouts and delays, in seconds."""
 
-    answer_timeout: float = 3.0  # for a list page, for opening a stream, and for a progress notification
+    answer_timeout: float = 3.0  # for a list page, for opening a stream, and for a progress notification...
+    max_answer_timeout: float = 30.0  # ...and the most to which it grows if all endpoints are slower
     idle_timeout: float = 2.0  # silence of a stream after which its progress is requested
     retry_delay: float = 0.025  # mean retry delay; each consecutive failure doubles it...
     max_retry_delay: float = 1.0  # ...up to this
@@ -147,6 +150,11 @@
         self._member_ids: dict[int, int] = {}  # member ID by endpoint
         self._list_next = True
         self._due = 0.0
+        self._requested_at = 0.0  # when the answer that is waited for was requested
+        self._answer_timeouts = [
+            AnswerTimeout(times.answer_timeout, times.max_answer_timeout) for _ in range(endpoints)
+        ]
+        self._timeouts_in_a_row = 0
         self._progress_requested = False
         self._backoff = Backoff(times.retry_delay, times.max_retry_delay, rng)
         self._partial: list[Change] = []  # changes of a revision that is not complete yet
@@ -162,7 +170,8 @@
 
     def page(self, now: float) -> None:
         """A page of a list arrived: restart the timeout."""
-        self._due = now + self._times.answer_timeout
+        self._answered(now)
+        self._await_answer(now)
 
     def listed(self, now: float, header: Header, entries: Sequence[Entry]) -> list[Action]:
         """All pages of a list arrived, as of the header's revision."""
@@ -197,6 +206,7 @@
         if self._member_ids.get(self.endpoint, header.member) != header.member:
             return [LogMessage(f"endpoint {self.endpoint} is another member: listed anew"), *self._list(now)]
         self._member_ids[self.endpoint] = header.member
+        self._answered(now)
         self.phase = Phase.WATCHING
         self._on_message(now)
         return [Alive()]
@@ -252,9 +262,11 @@
         if self.phase is Phase.RESTING:
             return self._continue(now)
         if self.phase is Phase.WATCHING and not self._progress_requested:
-            self._progress_requested, self._due = True, now + self._times.answer_timeout
+            self._progress_requested = True
+            self._await_answer(now)
             return [RequestProgress()]
-        silent = f"{self.phase.value}, and no answer for {self._times.answer_timeout:g} s"
+        silent = f"{self.phase.value}, and no answer for {self._answer_timeouts[self.endpoint].seconds:g} s"
+        self._timed_out()
         return self.failed(now, silent)
 
     # --- steps ------------------------------------------------------------------------------------------
@@ -277,7 +289,25 @@
             return f"is of cluster {header.cluster:x}, not {self._cluster:x}"
         return f"is at revision {header.revision}, after {self.revision}"
 
+    def _await_answer(self, now: float) -> None:
+        """Wait for what has just been requested of the endpoint."""
+        self._requested_at, self._due = now, now + self._answer_timeouts[self.endpoint].seconds
+
+    def _answered(self, now: float) -> None:
+        """The endpoint has answered what was requested."""
+        self._timeouts_in_a_row = 0
+        self._answer_timeouts[self.endpoint].answered(now - self._requested_at)
+
+    def _timed_out(self) -> None:
+        """The endpoint has not answered. Once none of them has, each gets longer: they may all be slow."""
+        self._timeouts_in_a_row += 1
+        if self._timeouts_in_a_row % self._endpoint_count == 0:
+            for timeout in self._answer_timeouts:
+                timeout.timed_out()
+
     def _on_message(self, now: float) -> None:
+        if self._progress_requested:
+            self._answered(now)
         self._progress_requested, self._due = False, now + self._times.idle_timeout
 
     def _next_endpoint(self) -> None:
@@ -292,16 +322,14 @@
         return self._list(now) if self._list_next else self._open(now)
 
     def _list(self, now: float) -> list[Action]:
-        self.phase, self._list_next, self._due = Phase.LISTING, True, now + self._times.answer_timeout
+        self.phase, self._list_next = Phase.LISTING, True
+        self._await_answer(now)
         self._partial = []
         self.lists += 1
         return [List(self.endpoint)]
 
     def _open(self, now: float) -> list[Action]:
-        self.phase, self._due, self._progress_requested = (
-            Phase.OPENING,
-            now + self._times.answer_timeout,
-            False,
-        )
+        self.phase, self._progress_requested = Phase.OPENING, False
+        self._await_answer(now)
         self.watches += 1
         return [Watch(self.endpoint, self.revision + 1)]
--- a/lynxreel/sources/etcd.py
+++ b/lynxreel/sources/etcd.py
@@ -16,7 +16,7 @@
 
 from lynxreel.etcd import listwatch as lw
 from lynxreel.etcd import rpc_pb2 as pb
-from lynxreel.etcd.client import Client, Compacted, EtcdError, Options, Stream
+from lynxreel.etcd.client import FOLLOW_TIMEOUT, Client, Compacted, EtcdError, Options, Stream
 from lynxreel.internal_errors import internal_errors
 from lynxreel.log import log
 from lynxreel.membership.core import Action, GuardMessage, Guards, Membership, Publish
@@ -138,7 +138,7 @@
     async def _list(self, endpoint: int) -> None:
         entries: list[lw.Entry] = []
         header: pb.ResponseHeader | None = None
-        async for received, found in self._client.pages(endpoint, self._prefix):
+        async for received, found in self._client.pages(endpoint, self._prefix, timeout=FOLLOW_TIMEOUT):
             header = header or received
             self.list_watch.page(self._loop.time())
             for start in range(0, len(found), BATCH_SIZE):
--- a/lynxreel/standins/etcd.py
+++ b/lynxreel/standins/etcd.py
@@ -97,8 +97,9 @@
         fault = self._faults.pick("etcd", self._clock.now(), (kind,))
         return fault.delay if fault is not None else None
 
-    async def _quorum(self) -> None:
-        """Wait while there is none: a client sees no answer."""
+    async def _held_up(self) -> None:
+        """Wait while it is slow, and while there is no quorum: a client sees no answer."""
+        await asyncio.sleep(self._struck(Kind.SLOW) or 0.0)
         while self._struck(Kind.QUORUM) is not None:
             await asyncio.sleep(LOOK)
 
@@ -161,7 +162,7 @@
     def _unary(self, call: Callable[[Any], Any], kind: type) -> Handler:
         async def serve(stream: Any) -> None:
             asked = await stream.recv_message()
-            await self._quorum()
+            await self._held_up()
             self._allow(stream)
             try:
                 answer = call(asked)
@@ -183,7 +184,7 @@
 
     async def _authenticate(self, stream: Any) -> None:
         asked = await stream.recv_message()
-        await self._quorum()
+        await self._held_up()
         if not self.users:
             raise GRPCError(Status.FAILED_PRECONDITION, "etcdserver: authentication is not enabled")
         if self.users.get(asked.name) != asked.password:
@@ -249,7 +250,7 @@
     async def _keep_alive(self, stream: Any) -> None:
         self._allow(stream)
         async for asked in stream:
-            await self._quorum()
+            await self._held_up()
             ttl = self.store.keep_alive(asked.ID)
             answer = pb.LeaseKeepAliveResponse(header=self.store.header(), ID=asked.ID, TTL=ttl)
             await stream.send_message(answer)
@@ -295,7 +296,7 @@
     async def take(self, asked: pb.WatchRequest) -> None:
         """A request of the client."""
         etcd, which = self._etcd, asked.WhichOneof("request_union")
-        await etcd._quorum()
+        await etcd._held_up()
         if which == "create_request":
             create = asked.create_request
             number = create.watch_id or self._numbers
--- a/tests/test_etcd.py
+++ b/tests/test_etcd.py
@@ -12,6 +12,7 @@
 import pytest
 
 from lynxreel.cli.main import main
+from lynxreel.etcd import client
 from lynxreel.etcd import rpc_pb2 as pb
 from lynxreel.etcd.client import Options
 from lynxreel.jsonlines import ask
@@ -289,6 +290,29 @@
     run(scenario)
 
 
+# Guards against calls that are given up after a fixed time, for ever, where etcd is steadily slower.
+def test_an_etcd_that_is_slower_than_the_timeout_of_a_call_is_followed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        cluster = Cluster()
+        await cluster.etcd.open()
+        cluster.etcd.users["root"] = "secret"
+        cluster.put(*[Box(f"b{n}", ("127.0.0.1", 7_000 + n)) for n in range(4)])
+        cluster.faults.on(Fault(Kind.SLOW, delay=0.2))
+        heard = asyncio.Queue[Publish]()
+        listing = EtcdList(Options((cluster.etcd.address,), "root", "secret"), PREFIX)
+        source = EtcdSource(listing, heard.put_nowait, asyncio.get_running_loop(), random.Random(1))
+        assert len((await heard.get()).changed) == 4
+        cluster.put(Box("b0", ("127.0.0.1", 7_000), State.DRAINING))
+        assert (await heard.get()).changed[0].state is State.DRAINING
+        source.close()
+        cluster.etcd.close()
+
+    monkeypatch.setattr(client, "CALL_TIMEOUT", 0.1)
+    run(scenario)
+
+
 def test_of_two_endpoints_that_disagree_the_one_that_goes_on_is_followed(tmp_path: Path) -> None:
     async def scenario() -> None:
         right, stray = Cluster(seed=1), Cluster(seed=2)
--- a/tests/test_listwatch.py
+++ b/tests/test_listwatch.py
@@ -2,6 +2,8 @@
 
 from random import Random
 
+import pytest
+
 from lynxreel.etcd.listwatch import (
     Alive,
     Change,
@@ -219,3 +221,66 @@
             else watcher.changed(1.0, header, [put("a", 9)], False)
         )
         assert kinds(actions) == [LogMessage, List]
+
+
+def first_watch_after(seconds: list[float], pages: int = 1) -> float:
+    """Return when a list has come and its stream is open; endpoint n answers after `seconds[n]`."""
+    watcher, now = ListWatch(len(seconds), Random(3)), 0.0
+    pending = list(watcher.start(now))
+    answers_at, pages_left = 0.0, pages
+    while watcher.phase is not Phase.WATCHING:
+        for action in pending:
+            if isinstance(action, List | Watch):
+                answers_at, pages_left = now + seconds[action.endpoint], pages
+            elif isinstance(action, Drop):
+                answers_at = 1e9
+        now = min(answers_at, watcher.due())
+        assert now < 600.0
+        if now < answers_at:
+            pending = watcher.tick(now)
+        elif watcher.phase is Phase.OPENING:
+            pending = watcher.created(now, Header(CLUSTER, watcher.endpoint + 1, 10))
+        elif pages_left > 1:
+            watcher.page(now)
+            answers_at, pages_left, pending = now + seconds[watcher.endpoint], pages_left - 1, []
+        else:
+            pending = watcher.listed(now, Header(CLUSTER, watcher.endpoint + 1, 10), [entry("a", 3)])
+    return now
+
+
+# Guards against requests that are given up after a fixed time, for ever, where etcd is steadily slower.
+@pytest.mark.parametrize("endpoints", [1, 3])
+@pytest.mark.parametrize("seconds", [2.9, 3.5, 8.0, 25.0])
+def test_a_cluster_that_is_slower_than_the_timeout_is_listed_and_watched(
+    seconds: float, endpoints: int
+) -> None:
+    given_up = sum(3.0 * 2**n + 1.5 for n in range(4) if 3.0 * 2**n <= seconds) * endpoints
+    assert first_watch_after([seconds] * endpoints, pages=3) <= given_up + 4 * seconds
+
+
+def test_the_timeout_of_a_dead_endpoint_does_not_grow_while_another_answers() -> None:
+    watcher, now = watching(endpoints=2), 0.0
+    dead = 1 - watcher.endpoint
+    for _ in range(5):
+        assert kinds(watcher.failed(now, "reset")) == [LogMessage, Drop]
+        now = watcher.due()
+        assert watcher.tick(now) == [Watch(dead, 11)]
+        assert watcher.due() == pytest.approx(now + 3.0)
+        now = watcher.due()
+        assert kinds(watcher.tick(now)) == [LogMessage, Drop]
+        now = watcher.due()
+        assert watcher.tick(now) == [Watch(1 - dead, 11)]
+        assert watcher.created(now, Header(CLUSTER, 2 - dead, 10)) == [Alive()]
+
+
+def test_the_timeout_shrinks_once_answers_come_fast_again() -> None:
+    watcher = ListWatch(1, Random(1))
+    watcher.start(0.0)
+    watcher.tick(3.0)
+    now = watcher.due()
+    watcher.tick(now)
+    assert watcher.due() == pytest.approx(now + 6.0)
+    watcher.page(now + 4.0)
+    assert watcher.due() == pytest.approx(now + 12.0)  # twice as long as the last answer took
+    watcher.page(now + 4.1)
+    assert watcher.due() == pytest.approx(now + 7.1)
