Redis counter: a silent Sentinel or node no longer ends each look-up

What callers would see: where the first Sentinel of the list (or the first node of a cluster) took connections and said nothing, the counter was never found, though the others knew it: every call failed as not connected.

Cause: one time-out of 1.0 s stood round the whole look-up, so it ended while the first address was asked, and the next look-up began there again. Found in the search for requests that are given up and made anew for ever.

Change: each address has its own time-out, which doubles to 4 s at the most when it has timed out and follows its answers (AnswerTimeout).

--- a/lynxreel/counters/redis.py
+++ b/lynxreel/counters/redis.py
@@ -17,12 +17,15 @@
 
 import hiredis
 
+from lynxreel.answer_timeout import AnswerTimeout
 from lynxreel.log import log
 from lynxreel.protocol import redis as wire
 from lynxreel.protocol.address import Address
 from mothgap.interface import Counted, CountedLate, Result
 
 CONNECT_TIMEOUT = 1.0  # seconds to connect, authentication included
+LOOKUP_TIMEOUT = 1.0  # seconds for one node or Sentinel to tell which nodes to call...
+MAX_LOOKUP_TIMEOUT = 4.0  # ...and the most to which it grows if it has timed out
 FIRST_RETRY_DELAY, MAX_RETRY_DELAY = 0.05, 1.0  # seconds between connection attempts; doubled each time
 CHECK_INTERVAL = 0.5  # seconds between checks of a connection
 PING_AFTER = 2.0  # seconds of silence before a ping checks that the connection is alive
@@ -223,6 +226,7 @@
         self._queues: dict[int, deque[_Call]] = {}  # by name: calls not yet posted
         self._lookup_task = loop.create_task(self._keep_looking_up())
         self._lookup_needed = asyncio.Event()  # the slot map or the primary has to be looked up again
+        self._lookup_timeouts: dict[Address, AnswerTimeout] = {}  # by node or Sentinel
 
     # --- calls ------------------------------------------------------------------------------------------
 
@@ -323,8 +327,7 @@
         while True:
             self._lookup_needed.clear()
             try:
-                async with asyncio.timeout(CONNECT_TIMEOUT):
-                    await self._look_up()
+                await self._look_up()
                 delay = FIRST_RETRY_DELAY
             except (OSError, ValueError, wire.ErrorReply) as error:
                 log(f"looking up the counter's nodes failed: {error!r}")
@@ -355,11 +358,24 @@
         last_error: Exception = ValueError("no address to ask")
         for address in dict.fromkeys(addresses):
             try:
-                return await ask(address)
+                return await self._in_time(address, ask)
             except (OSError, ValueError, wire.ErrorReply) as error:
                 last_error = error
         raise last_error
 
+    async def _in_time(self, address: Address, ask: Callable[[Address], Any]) -> Any:
+        """Return the result of one address. Raises TimeoutError after the time that it has."""
+        timeout = self._lookup_timeouts.setdefault(address, AnswerTimeout(LOOKUP_TIMEOUT, MAX_LOOKUP_TIMEOUT))
+        began = self.loop.time()
+        try:
+            async with asyncio.timeout(timeout.seconds):
+                result = await ask(address)
+        except TimeoutError:
+            timeout.timed_out()
+            raise
+        timeout.answered(self.loop.time() - began)
+        return result
+
     async def _slots_at(self, address: Address) -> list[tuple[int, int, Address]]:
         connection = self._connections.get(address)
         temporary = None if connection is not None and connection.usable() else await self._connect(address)
--- a/tests/test_redis.py
+++ b/tests/test_redis.py
@@ -22,7 +22,7 @@
 from lynxreel.standins.faults import Fault, Faults, Kind
 from lynxreel.standins.redis import Redis, Ring
 from mothgap.interface import Counted, CountedLate, Result
-from tests.net import run
+from tests.net import LOCAL, ScriptedServer, run
 
 TIME_LIMIT = 2_000_000  # microseconds; long enough for a busy machine
 LIFETIME = 20_000_000  # microseconds
@@ -376,6 +376,21 @@
     run(scenario)
 
 
+# Guards against a look-up that ends at the first Sentinel, each time, where that says nothing.
+def test_a_silent_sentinel_does_not_keep_the_others_from_being_asked() -> None:
+    async def scenario() -> None:
+        primary, sentinel = await node("a"), await node("s1")
+        sentinel.masters["quota"] = primary.address
+        async with ScriptedServer() as silent:
+            options = Options(((LOCAL, silent.port), sentinel.address), sentinel="quota")
+            async with running_counter(options) as (counter, posted):
+                await wait_until_connected(counter, posted)
+        for one in (primary, sentinel):
+            one.listener.close()
+
+    run(scenario)
+
+
 def test_an_old_primary_that_has_become_a_replica_is_dropped() -> None:
     async def scenario() -> None:
         first, second, sentinel = await node("a"), await node("b"), await node("s")
