Redis counter: a connection that is slow to sign in is not given up at 1 s

What callers would see: a Redis at which connecting and signing in took more than 1.0 s, each time, was never called, though it would have answered calls.

Change: attempts overlap (lynxreel/overlapping.py): another is begun each second beside the earlier ones, four in all, and the first that succeeds is kept. So a server that is back is found as soon as before; only longer time-outs would have cost that. The stand-in can be slow to sign in.

--- a/lynxreel/counters/redis.py
+++ b/lynxreel/counters/redis.py
@@ -13,17 +13,20 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any, cast
 
 import hiredis
 
 from lynxreel.answer_timeout import AnswerTimeout
 from lynxreel.log import log
+from lynxreel.overlapping import first_result
 from lynxreel.protocol import redis as wire
 from lynxreel.protocol.address import Address
 from mothgap.interface import Counted, CountedLate, Result
 
-CONNECT_TIMEOUT = 1.0  # seconds to connect, authentication included
+CONNECT_INTERVAL = 1.0  # seconds after which a connection, authentication included, is tried anew beside
+CONNECT_ATTEMPTS = 4  # of them, before a pause
 LOOKUP_TIMEOUT = 1.0  # seconds for one node or Sentinel to tell which nodes to call...
 MAX_LOOKUP_TIMEOUT = 4.0  # ...and the most to which it grows if it has timed out
 FIRST_RETRY_DELAY, MAX_RETRY_DELAY = 0.05, 1.0  # seconds between connection attempts; doubled each time
@@ -439,8 +442,9 @@
         delay = 0.0
         while True:
             try:
-                async with asyncio.timeout(CONNECT_TIMEOUT):
-                    connection = await self._connect(address)
+                connection = await first_result(
+                    partial(self._connect, address), CONNECT_INTERVAL, CONNECT_ATTEMPTS, _Connection.drop
+                )
                 self._connections[address] = connection
                 delay = 0.0
                 await self._monitor(connection)
--- a/lynxreel/standins/redis.py
+++ b/lynxreel/standins/redis.py
@@ -111,6 +111,7 @@
     def __init__(self, faults: Faults, clock: Clock, name: str = "redis", password: str = "") -> None:
         self.store = Store(clock.now)
         self.faults, self.clock, self.name, self.password = faults, clock, name, password
+        self.sign_in_delay = 0.0  # seconds
         self.role = "master"
         self.ahead = 0  # microseconds of its clock
         self.ring: Ring | None = None
@@ -184,7 +185,7 @@
         except Wrong as wrong:
             self._broken |= self._queue is not None
             reply = wrong
-        delay = 0.0
+        delay = redis.sign_in_delay if name in ("HELLO", "AUTH") else 0.0
         if name in ("EXEC", "INCRBYFLOAT", "GET", "EVAL") and self._queue is None:
             fault = redis.faults.pick(redis.name, redis.clock.now())
             if fault is not None and fault.kind is Kind.RESET:
--- a/tests/test_redis.py
+++ b/tests/test_redis.py
@@ -391,6 +391,22 @@
     run(scenario)
 
 
+# Guards against connections that are given up after a fixed time, for ever, where signing in takes longer.
+@pytest.mark.parametrize("cluster", [False, True])
+def test_a_server_at_which_signing_in_takes_longer_than_the_interval_is_called(cluster: bool) -> None:
+    async def scenario() -> None:
+        server = await node("a", password="secret")
+        server.sign_in_delay = 1.2
+        if cluster:
+            server.ring = Ring.even([server.address])
+        options = Options((server.address,), cluster=cluster, password="secret")
+        async with running_counter(options) as (counter, posted):
+            await wait_until_connected(counter, posted)
+        server.listener.close()
+
+    run(scenario)
+
+
 def test_an_old_primary_that_has_become_a_replica_is_dropped() -> None:
     async def scenario() -> None:
         first, second, sentinel = await node("a"), await node("b"), await node("s")
