Links: a Hello that takes longer than 1 s is not given up for another

What callers would see: an instance that needed more than 1.0 s for each Hello got no link from the others, so none of them sent it copies, reports or questions.

Change: attempts overlap, one a second, four in all (lynxreel/overlapping); the first that is answered is the link, and a second answer closes its own. A peer that is back is found as soon as before.

--- a/lynxreel/links/mesh.py
+++ b/lynxreel/links/mesh.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from typing import Any, Union, cast
 
@@ -20,6 +21,7 @@
 from lynxreel.links.incarnation import next_incarnation
 from lynxreel.links.peers import News, Peers, State
 from lynxreel.log import log
+from lynxreel.overlapping import first_result
 from lynxreel.protocol.address import Address
 
 VERSION = 1
@@ -30,7 +32,8 @@
 START_TIMEOUT = 0.1  # seconds that a start waits until the state of each other instance is known
 MAX_DEFER = 0.5  # seconds for which a deferred message waits for another one to share its frame
 DEAD_PAUSE = 2.0  # longest pause after a refused connect: a starting instance connects to the others itself
-CONNECT_TIMEOUT = 1.0  # seconds for a connect and the Hello that answers it
+CONNECT_INTERVAL = 1.0  # seconds after which a link, Hello included, is opened anew beside
+CONNECT_ATTEMPTS = 4  # of them, before a pause
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag="hello"):
@@ -189,12 +192,11 @@
         pause, max_pause = FIRST_PAUSE, MAX_PAUSE
         while True:
             known_incarnation = self.peers.peers[place.name].incarnation
-            link = _OutgoingLink(self, place.name)
             max_pause = MAX_PAUSE
             try:
-                async with asyncio.timeout(CONNECT_TIMEOUT):
-                    await self.loop.create_connection(lambda link=link: link, *place.address)  # type: ignore[misc]
-                    await link.answered.wait()
+                link = await first_result(
+                    partial(self._open_link, place), CONNECT_INTERVAL, CONNECT_ATTEMPTS, _OutgoingLink.abort
+                )
                 if link.up:
                     pause = FIRST_PAUSE
                 await link.closed.wait()
@@ -203,18 +205,29 @@
                 max_pause = DEAD_PAUSE
             except OSError:  # or a timeout, which does not tell whether the instance is dead
                 pass
-            finally:
-                link.abort()
             with suppress(TimeoutError):
                 async with asyncio.timeout(pause):
                     await self._retry_now[place.name].wait()
             self._retry_now[place.name].clear()
             pause = min(max_pause, 2 * pause)
 
+    async def _open_link(self, place: Place) -> _OutgoingLink:
+        """Returns a link once its Hello is answered or it has ended. Raises OSError if it can't be opened."""
+        link = _OutgoingLink(self, place.name)
+        try:
+            await self.loop.create_connection(lambda: link, *place.address)
+            await link.answered.wait()
+        except BaseException:
+            link.abort()
+            raise
+        return link
+
     def linked(self, link: _OutgoingLink, hello: Hello) -> bool:
         """Handles the Hello on a link that this instance opened; False if it is to be closed."""
         if not self._same_version(hello) or hello.name != link.name:
             return False
+        if link.name in self._outgoing:
+            return False  # an earlier attempt has been answered meanwhile
         known, news = self.peers.linked(hello.name, hello.incarnation)
         if self.peers.is_dead(hello.name, hello.incarnation):
             why = "does something refuse connects at its address? It counts again once it is restarted"
