Discovery: new addresses in quick succession no longer end each pending request

What callers would see: where SIGHUP moved discovery again and again, sooner than an agent answers (each second, answers after 1.5 s), no news was heard until the moves ended, 20 s in the test; 4 s after a SIGHUP it counts.

Change: requests at former addresses go on waiting. One that is answered tells until the present address does, which closes them all; failures at a former address cause no request. The bounds on pending requests hold for all of them together.

--- a/lynxreel/sources/freshness.py
+++ b/lynxreel/sources/freshness.py
@@ -93,6 +93,7 @@
         self._last_id = 0
         self._pending = PendingWatches()
         self._current: int | None = None  # the one that received a line last
+        self._address_epoch = 0  # how often the address has changed
         self._last_line_at = 0.0
         self._next_open: float | None = 0.0  # when to open the next one; None: not scheduled
         self._failure_logged = False  # that nothing arrives has been logged
@@ -172,7 +173,7 @@
             return []  # a long list is being received
         removed = self._pending.make_room(MAX_AGENT_PENDING if agent else MAX_SERVICE_PENDING, now)
         self._last_id += 1
-        self._pending.add(self._last_id, now)
+        self._pending.add(self._last_id, now, self._address_epoch)
         return [*(Close(watch) for watch in removed), Open(self._last_id)]
 
     def _schedule_retry(self, now: float, crowded: bool = False) -> None:
@@ -192,14 +193,21 @@
             if not self._pending and self._next_open is None:
                 self._failure_logged = False
             return []
-        opened_at = self._pending.remove(watch)
-        if opened_at is None:
+        pending = self._pending.remove(watch)
+        if pending is None:
             return []
-        logged = self._log_answer(now - opened_at)
-        others = ([] if self._current is None else [self._current]) + self._pending.clear()
-        self._current, self._last_line_at, self._next_open, self._failure_logged = watch, now, None, False
+        others = [] if self._current is None else [self._current]
+        others += self._pending.remove_up_to(pending.address_epoch)
+        closed = [Close(other) for other in others]
+        self._current, self._last_line_at = watch, now
+        if pending.address_epoch < self._address_epoch:
+            if self._next_open is None and not self._pending.has_any_at(self._address_epoch):
+                self._next_open = now
+            return [*closed]  # it tells what a former address has, until the present one answers
+        logged = self._log_answer(now - pending.opened_at)
+        self._next_open, self._failure_logged = None, False
         self._backoff.reset()
-        return [*logged, *(Close(other) for other in others)]
+        return [*logged, *closed]
 
     def _log_answer(self, answer_time: float) -> list[Action]:
         """Log that a watch is open again, and an answer that took long."""
@@ -214,15 +222,17 @@
         """A watch has ended or could not be opened; `why` is for the log."""
         if watch == self._current:
             self._current = None
-        elif self._pending.remove(watch) is None:
-            return []
+        else:
+            pending = self._pending.remove(watch)
+            if pending is None or pending.address_epoch < self._address_epoch:
+                return []
         rejected = how is End.REJECTED
-        if self._policy.agent or rejected or not self._pending:
+        if self._policy.agent or rejected or not self._pending.has_any_at(self._address_epoch):
             self._schedule_retry(now, rejected)
         return self._log_once(f"the watch on discovery {how.value}{why and f' ({why})'}: another is opened")
 
-    def address_changed(self, now: float) -> list[Action]:
-        """The address has changed: close pending watches. The current one stays until another has a line."""
+    def address_changed(self, now: float) -> None:
+        """The address has changed. Watches at former ones stay until one at the new address has a line."""
+        self._address_epoch += 1
         self._next_open = now
         self._backoff.reset()  # no failures at the new address
-        return [Close(watch) for watch in self._pending.clear()]
--- a/lynxreel/sources/pending.py
+++ b/lynxreel/sources/pending.py
@@ -14,8 +14,11 @@
 
 
 @dataclass(slots=True)
-class _PendingWatch:
+class PendingWatch:
+    """A watch that has received no whole line yet."""
+
     opened_at: float
+    address_epoch: int  # how often the address had changed when it was opened
     last_activity: float  # when it was opened or last received a part of its first line
     receiving: bool = False  # a part of its first line has arrived
 
@@ -24,28 +27,30 @@
     """Pending watches in the order of opening."""
 
     def __init__(self) -> None:
-        self._watches: dict[int, _PendingWatch] = {}
+        self._watches: dict[int, PendingWatch] = {}
 
     def __len__(self) -> int:
         return len(self._watches)
 
-    def __contains__(self, watch: int) -> bool:
-        return watch in self._watches
-
-    def add(self, watch: int, now: float) -> None:
+    def add(self, watch: int, now: float, address_epoch: int) -> None:
         """Add a watch that is opened now."""
-        self._watches[watch] = _PendingWatch(now, now)
+        self._watches[watch] = PendingWatch(now, address_epoch, now)
 
-    def remove(self, watch: int) -> float | None:
-        """Remove a watch; return when it was opened, or None if it was not pending."""
-        pending = self._watches.pop(watch, None)
-        return None if pending is None else pending.opened_at
+    def remove(self, watch: int) -> PendingWatch | None:
+        """Remove and return a watch, or return None if it was not pending."""
+        return self._watches.pop(watch, None)
+
+    def remove_up_to(self, address_epoch: int) -> list[int]:
+        """Remove and return the watches at the address of this epoch and at earlier ones."""
+        removed = [
+            watch for watch, pending in self._watches.items() if pending.address_epoch <= address_epoch
+        ]
+        self._remove(removed)
+        return removed
 
-    def clear(self) -> list[int]:
-        """Remove and return all watches."""
-        watches = list(self._watches)
-        self._watches.clear()
-        return watches
+    def has_any_at(self, address_epoch: int) -> bool:
+        """Whether a watch is pending at the address of this epoch."""
+        return any(pending.address_epoch == address_epoch for pending in self._watches.values())
 
     def bytes_received(self, watch: int, now: float) -> None:
         """Note that a part of a watch's first line has arrived."""
@@ -73,8 +78,7 @@
             for watch, pending in self._watches.items()
             if now >= pending.last_activity + MAX_ANSWER_TIME
         ]
-        for watch in expired:
-            del self._watches[watch]
+        self._remove(expired)
         return expired
 
     def make_room(self, limit: int, now: float) -> list[int]:
@@ -86,6 +90,10 @@
             removed.append(watch)
         return removed
 
+    def _remove(self, watches: list[int]) -> None:
+        for watch in watches:
+            del self._watches[watch]
+
     def _most_redundant(self, now: float) -> int:
         """Return the watch that is closest in age to the next older one, in proportion to its age."""
         ages = [(watch, now - pending.opened_at) for watch, pending in self._watches.items()]
--- a/lynxreel/sources/platform.py
+++ b/lynxreel/sources/platform.py
@@ -156,11 +156,11 @@
         self._tick()
 
     def set_address(self, address: Address) -> None:
-        """Watch at another address, from the known version. The old watch stays until that one has a line."""
+        """Watch at another address, from the known version. Old watches stay until that one has a line."""
         if address == self.address:
             return
         self.address = address
-        self._perform(self.freshness.address_changed(self.loop.time()))
+        self.freshness.address_changed(self.loop.time())
         self._tick()
 
     @property
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -115,6 +115,22 @@
     assert instance.heard_at is not None and instance.heard_at - 20.0 <= seconds + REQUEST_INTERVAL
 
 
+# Guards against new addresses in quick succession that each end the requests at the one before.
+@pytest.mark.parametrize("seconds", [0.0, 1.5, 3.0])
+def test_addresses_that_change_faster_than_an_agent_answers_do_not_keep_it_from_being_heard(
+    seconds: float,
+) -> None:
+    discovery = agent(always(seconds))
+    discovery.at(20.0, discovery.cut)
+    discovery.at(20.0, discovery.change)
+    for number in range(20):
+        discovery.at(20.0 + number, discovery.move)
+    discovery.run_until(60.0)
+    (instance,) = discovery.instances
+    assert instance.heard_at is not None and instance.heard_at - 20.0 <= seconds + REQUEST_INTERVAL
+    assert instance.max_open <= 33 and len(instance.open) == 1
+
+
 @pytest.mark.parametrize("span", [0.5, 8.0, 40.0])
 def test_what_an_agent_has_at_its_return_is_heard_within_the_grace(span: float) -> None:
     for seed in range(50):
