--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -37,6 +37,7 @@
     "takeover_orders",
     "takeover",
     "list_size",
+    "slow_discovery",
     "shared_clock",
     "zones",
 )
--- a/lynxreel/sources/freshness.py
+++ b/lynxreel/sources/freshness.py
@@ -169,7 +169,7 @@
         """Open a watch, and schedule the next one if an agent is asked; make room for it if there is none."""
         agent = self._policy.agent
         self._next_open = now + AGENT_RETRY_INTERVAL * self._rng.uniform(0.8, 1.2) if agent else None
-        if self._pending.receiving_since(now - RECEIVING_TIMEOUT):
+        if self._pending.receiving_since(now - RECEIVING_TIMEOUT, self._address_epoch):
             return []  # a long list is being received
         removed = self._pending.make_room(MAX_AGENT_PENDING if agent else MAX_SERVICE_PENDING, now)
         self._last_id += 1
@@ -198,16 +198,16 @@
             return []
         others = [] if self._current is None else [self._current]
         others += self._pending.remove_up_to(pending.address_epoch)
-        closed = [Close(other) for other in others]
+        closed: list[Action] = [Close(other) for other in others]
         self._current, self._last_line_at = watch, now
         if pending.address_epoch < self._address_epoch:
             if self._next_open is None and not self._pending.has_any_at(self._address_epoch):
                 self._next_open = now
-            return [*closed]  # it tells what a former address has, until the present one answers
+            return closed  # it tells what a former address has, until the present one answers
         logged = self._log_answer(now - pending.opened_at)
         self._next_open, self._failure_logged = None, False
         self._backoff.reset()
-        return [*logged, *closed]
+        return logged + closed
 
     def _log_answer(self, answer_time: float) -> list[Action]:
         """Log that a watch is open again, and an answer that took long."""
--- a/lynxreel/sources/pending.py
+++ b/lynxreel/sources/pending.py
@@ -57,9 +57,12 @@
         if (pending := self._watches.get(watch)) is not None:
             pending.last_activity, pending.receiving = now, True
 
-    def receiving_since(self, start: float) -> bool:
-        """Whether a part of a first line has arrived since `start`."""
-        return any(pending.receiving and pending.last_activity >= start for pending in self._watches.values())
+    def receiving_since(self, start: float, address_epoch: int) -> bool:
+        """Whether a part of a first line has arrived from the address of this epoch since `start`."""
+        return any(
+            pending.receiving and pending.address_epoch == address_epoch and pending.last_activity >= start
+            for pending in self._watches.values()
+        )
 
     @property
     def first_activity(self) -> float:
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -355,3 +355,27 @@
         LogLine("the watch on discovery is open again"),
         Close(first),
     ]
+
+
+def test_a_list_that_arrives_from_a_former_address_does_not_delay_the_request_to_the_present_one() -> None:
+    core = Freshness(WatchPolicy(agent=True), random.Random(3))
+    first = opened(core, 0.0)
+    core.bytes_received(first, 0.1)
+    core.address_changed(0.2)
+    second = opened(core, 0.2)
+    assert core.line_received(first, 0.3) == []
+    assert core.line_received(second, 0.4) == [Close(first)]
+
+
+def test_an_agent_is_asked_again_if_its_list_stops_arriving_and_the_request_goes_on_waiting() -> None:
+    core = Freshness(WatchPolicy(agent=True), random.Random(3))
+    first = opened(core, 0.0)
+    core.bytes_received(first, 0.1)
+    opened_at = []
+    while (due := core.due()) is not None and due < 4.0:
+        actions = core.tick(due)
+        assert not any(isinstance(action, Close) for action in actions)
+        opened_at += [due for action in actions if isinstance(action, Open)]
+    assert 1.1 < opened_at[0] < 1.5 and len(opened_at) > 8
+    assert len(core.line_received(first, 4.0)) == 2 + len(opened_at)
+    assert core.current == first
