Links: the methods of Mesh have the field's names

Change: `register`, `deliver` and `report_changes`, `MessageHandler` for the type of what receives messages. What is counted keeps its keys. No change of behaviour.

--- a/lynxreel/links/mesh.py
+++ b/lynxreel/links/mesh.py
@@ -54,7 +54,7 @@
     host: str = ""
 
 
-Hears = Callable[[str, int, Any], None]  # takes the sender's name and incarnation, and a message
+MessageHandler = Callable[[str, int, Any], None]  # takes the sender's name and incarnation, and a message
 
 
 @dataclass(frozen=True)
@@ -76,11 +76,11 @@
     def __init__(
         self, own: Place, incarnation: int, others: Iterable[Place], loop: asyncio.AbstractEventLoop
     ) -> None:
-        """Each part calls `join`, then `open` follows."""
+        """Each part calls `register`, then `open` follows."""
         self.own, self.incarnation, self.loop = own, incarnation, loop
         self.places = {place.name: place for place in others if place.name != own.name}
         self.peers = Peers(self.places)
-        self._receivers: dict[type, Hears] = {}
+        self._handlers: dict[type, MessageHandler] = {}
         self._listeners: list[Callable[[list[News]], None]] = []
         self.encoder = msgspec.msgpack.Encoder()
         self.decoder: msgspec.msgpack.Decoder[list[Any]]
@@ -95,20 +95,22 @@
         self._server: asyncio.Server | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
-    def join(self, kinds: Iterable[type], heard: Hears, news: Callable[[list[News]], None]) -> None:
-        """Registers `heard` for messages of these types (msgspec structs with tags), `news` for peer states.
+    def register(
+        self, kinds: Iterable[type], handler: MessageHandler, listener: Callable[[list[News]], None]
+    ) -> None:
+        """Registers `handler` for messages of these types, and `listener` for changes of the states of peers.
 
-        All types are to be registered before `open`.
+        The types are msgspec structs with tags; all of them are to be registered before `open`.
         """
-        self._receivers |= dict.fromkeys(kinds, heard)
-        self._listeners.append(news)
+        self._handlers |= dict.fromkeys(kinds, handler)
+        self._listeners.append(listener)
 
-    def heard(self, name: str, incarnation: int, message: Any) -> None:
+    def deliver(self, name: str, incarnation: int, message: Any) -> None:
         """Passes on a message from another instance."""
-        if (receiver := self._receivers.get(type(message))) is not None:
-            receiver(name, incarnation, message)
+        if (handler := self._handlers.get(type(message))) is not None:
+            handler(name, incarnation, message)
 
-    def news(self, news: list[News]) -> None:
+    def report_changes(self, news: list[News]) -> None:
         """Passes on changes of the states of other instances."""
         for listener in self._listeners:
             listener(news)
@@ -119,7 +121,7 @@
         Raises OSError if the address is in use.
         """
         self.decoder = msgspec.msgpack.Decoder(
-            list[Union.__getitem__((Hello, *self._receivers))]  # type: ignore[misc]
+            list[Union.__getitem__((Hello, *self._handlers))]  # type: ignore[misc]
         )
         host, port = self.own.address
         self._server = await self.loop.create_server(lambda: _IncomingLink(self), host, port)
@@ -201,7 +203,7 @@
                     pause = FIRST_PAUSE
                 await link.closed.wait()
             except ConnectionRefusedError:
-                self.news(self.peers.refused(place.name, known_incarnation))
+                self.report_changes(self.peers.refused(place.name, known_incarnation))
                 max_pause = DEAD_PAUSE
             except OSError:  # or a timeout, which does not tell whether the instance is dead
                 pass
@@ -234,14 +236,14 @@
             log(f"{hello.name} is alive, but its incarnation counts as dead: {why}")
         if known:
             self._outgoing[link.name] = link
-        self.news(news)
+        self.report_changes(news)
         return known
 
     def unlinked(self, link: _OutgoingLink) -> None:
         """Handles the end of a link that this instance opened."""
         if self._outgoing.get(link.name) is link:
             del self._outgoing[link.name]
-            self.news(self.peers.ended(link.name))
+            self.report_changes(self.peers.ended(link.name))
 
     def met(self, hello: Hello) -> bool:
         """Handles the Hello on a link that another instance opened; False if it is to be closed."""
@@ -250,7 +252,7 @@
         known, news = self.peers.met(hello.name, hello.incarnation)
         if known:
             self._retry_now[hello.name].set()  # it is up: connect in the other direction at once
-        self.news(news)
+        self.report_changes(news)
         return known
 
     def _same_version(self, hello: Hello) -> bool:
@@ -337,7 +339,7 @@
             self._sender = message
             return True
         self.mesh.counts["heard"] += 1
-        self.mesh.heard(self._sender.name, self._sender.incarnation, message)
+        self.mesh.deliver(self._sender.name, self._sender.incarnation, message)
         return True
 
     def connection_lost(self, error: Exception | None) -> None:
--- a/lynxreel/takeover/cover.py
+++ b/lynxreel/takeover/cover.py
@@ -70,7 +70,7 @@
         self._plan, self._engine, self._servers, self._loop = plan, engine, servers, loop
         engine.backend, engine.observer = self, self
         servers.may_send, self.mesh = self._may_send, mesh
-        mesh.join(MESSAGE_TYPES, self._message_received, self._peers_changed)
+        mesh.register(MESSAGE_TYPES, self._message_received, self._peers_changed)
         places = (mesh.own, *mesh.places.values())
         zones = {place.name: place.zone for place in places}
         hosts = {place.name: place.host or place.name for place in places}
--- a/lynxreel/zones/shell.py
+++ b/lynxreel/zones/shell.py
@@ -53,7 +53,7 @@
     ) -> None:
         self._plan, self._engine, self._servers, self._mesh, self._loop = plan, engine, servers, mesh, loop
         engine.on_attempt_ended = self._attempt_ended
-        mesh.join((Report, DecisionMessage), self._receive, self._peers_changed)
+        mesh.register((Report, DecisionMessage), self._receive, self._peers_changed)
         places = {place.name: place.zone for place in (mesh.own, *mesh.places.values())}
         self._member = Member(mesh.own.name, places, plan.terms, plan.evidence, self._now())
         self._store = Store(plan.store)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -19,7 +19,7 @@
                 for one in news:
                     heard.put_nowait(one)
 
-            mesh.join((), lambda *message: None, take)
+            mesh.register((), lambda *message: None, take)
             await mesh.open()
             for _ in range(2):
                 assert (await peer.receive(end=b""))[1] != b""
--- a/tests/test_zone_faults.py
+++ b/tests/test_zone_faults.py
@@ -139,7 +139,7 @@
             ]
             incarnation = next_incarnation(tmp_path / own.name)
             mesh = Mesh(own, incarnation, others, asyncio.get_running_loop())
-            mesh.join((Report, DecisionMessage, *MESSAGE_TYPES), lambda *_: None, lambda _: None)
+            mesh.register((Report, DecisionMessage, *MESSAGE_TYPES), lambda *_: None, lambda _: None)
             await mesh.open()
             forged = ZoneDecision(7, "g0", {zone: ZoneState(Stage.AWAY, 0, 7) for zone in ZONES})
 
