Test: at SIGHUP the old watch tells on until the new one does, with both answering

Cause: no discovery of this test ever answers. It asserted that the request at the former address ends when one at the new address has been made; since requests at former addresses go on waiting, it ended after 30 s.

Change: the test was wrong against the page ("the old one tells on until the new one does", README). Both answer now, and it asserts that the old watch is open until the new one has told something and ends then, which is stricter. Requests without an answer at former addresses have tests of their own in tests/test_freshness.py and tests/test_slow_discovery.py.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -27,6 +27,7 @@
 }
 
 
+HEARTBEAT = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n"  # a watch and its first line
 GATEWAY = "127.91.0.1"  # an address where nothing else takes ports
 
 
@@ -171,6 +172,8 @@
         ports = [peer.getsockname()[1] for peer in peers]
         process = stack.enter_context(start(tmp_path, json.dumps(config(ports[0], ports[1], listen))))
         watch = stack.enter_context(discovery.accept()[0])
+        assert watch.recv(4096).startswith(b"GET ")
+        watch.sendall(HEARTBEAT)
         client = stack.enter_context(connect(listen, process))
         client.sendall(b"*1\r\n$4\r\nPING\r\n")
         assert client.recv(64) == b"+PONG\r\n"
@@ -185,8 +188,12 @@
         process.send_signal(signal.SIGHUP)
         new_watch = stack.enter_context(next_discovery.accept()[0])
         assert new_watch.recv(4096).startswith(b"GET /v1/servers?watch=1&from=41 ")
-        assert watch.recv(4096).startswith(b"GET ")
-        assert watch.recv(4096) == b""  # the old one ends when the new one is up
+        watch.setblocking(False)
+        with pytest.raises(BlockingIOError):
+            watch.recv(4096)  # the old one tells on until the new one does
+        watch.setblocking(True)
+        new_watch.sendall(HEARTBEAT)
+        assert watch.recv(4096) == b""
         for _ in range(2):
             stack.enter_context(next_counter.accept()[0])
         process.send_signal(signal.SIGTERM)
