Test rig: a fleet of workers holds the ports of all workers of each gateway

Cause: worker_fleet wrote `workers = 2` into the operator files itself, so that the rig held one port a gateway in place of four; two that the system gave lay within four of each other.

Change: worker_fleet tells the rig how many workers there are, which writes the files and holds rows of four ports.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -38,6 +38,7 @@
     zones: int = 1,
     wires: bool = False,
     keyed: bool = False,
+    workers: int = 0,
 ) -> AsyncIterator[Deployment]:
     """A running deployment; at the end nothing of it is left."""
     deployment = Deployment(
@@ -52,6 +53,7 @@
         zones=zones,
         wires=wires,
         keyed=keyed,
+        workers=workers,
     )
     try:
         await deployment.start()
--- a/tests/test_work_of_workers.py
+++ b/tests/test_work_of_workers.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import socket
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -13,12 +14,13 @@
 from lynxreel.cli.main import main
 from lynxreel.config.deploy import for_worker
 from lynxreel.config.read import ConfigError, read
+from lynxreel.local import deployment as local_deployment
 from lynxreel.local.deployment import Deployment, Gateway
 from lynxreel.standins.faults import Fault, Kind
 from tests.fleet import Caller, fleet, run, told
 from tests.test_takeover import hand_over, start_successor
 from tests.test_work_in_hand import COMMIT, as_returning, clean, commands_received, units_added, wait_until
-from tests.test_workers import Edit, changed, owner, pids, server_of, slot_of, workers
+from tests.test_workers import Edit, changed, owner, pids, server_of, slot_of
 
 LOOKUP = ["CALL.GET", f"{77:016x}", "r1", "c=lookup,t=standard,d=1500,units=1"]
 
@@ -28,11 +30,7 @@
     folder: Path, gateways: int, zones: int = 1, rate: float = 50.0, edit: Edit = str
 ) -> AsyncIterator[Deployment]:
     """Starts gateways of two workers each, which keep replicas of each other's requests."""
-
-    def edit_all(text: str) -> str:
-        return edit(workers(2)(text))
-
-    async with fleet(folder, gateways, rate, edit=edit_all, takeover=True, zones=zones) as deployment:
+    async with fleet(folder, gateways, rate, edit=edit, takeover=True, zones=zones, workers=2) as deployment:
         try:
             for gateway in deployment.gateways:
                 await told(gateway, state="ready")
@@ -195,6 +193,25 @@
     run(scenario)
 
 
+# Guards the rig against ports of two gateways that lie too near for their workers.
+def test_ports_of_all_workers_of_a_gateway_are_held_before_it_starts(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    held = list[int]()
+    row = local_deployment._row
+
+    def recording_row(count: int) -> list[socket.socket]:
+        held.append(count)
+        return row(count)
+
+    async def scenario() -> None:
+        async with worker_fleet(tmp_path, 2):
+            assert held == [4, 4]
+
+    monkeypatch.setattr(local_deployment, "_row", recording_row)
+    run(scenario)
+
+
 def test_each_worker_listens_for_the_others_at_its_own_address(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with worker_fleet(tmp_path, 2) as deployment:
